--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/process/FailureDomain.kt
@@ -0,0 +1,14 @@
+package io.buckthornlever.api.process
+
+import kotlinx.serialization.Serializable
+
+/** Name of a failure domain (a zone whose instances can all go at once). */
+@Serializable
+@JvmInline
+public value class FailureDomain(
+    public val value: String,
+) : Comparable<FailureDomain> {
+    override fun compareTo(other: FailureDomain): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/process/Finding.kt
@@ -0,0 +1,17 @@
+package io.buckthornlever.api.process
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One problem in settings or in a table.
+ *
+ * @property path place of the problem, such as `routes[2].pools[0]`
+ * @property message what is wrong and what is allowed
+ */
+@Serializable
+public data class Finding(
+    val path: String,
+    val message: String,
+) {
+    override fun toString(): String = "$path: $message"
+}
--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/process/StoredObject.kt
@@ -0,0 +1,12 @@
+package io.buckthornlever.api.process
+
+/**
+ * An object as read from the store.
+ *
+ * @property value content; null in a watch answer when the object was deleted
+ */
+public data class StoredObject(
+    val key: ObjectKey,
+    val version: ObjectVersion,
+    val value: String?,
+)
--- /dev/null
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -0,0 +1,9 @@
+package io.buckthornlever.bench.process
+
+/** All experiments in the order in which `list` prints them. */
+internal object ExperimentRegistry {
+    val all: List<Experiment> = listOf()
+
+    /** The experiment called [name], or null. */
+    fun find(name: String): Experiment? = all.firstOrNull { it.name == name }
+}
--- /dev/null
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/Main.kt
@@ -0,0 +1,6 @@
+package io.buckthornlever.cli
+
+/** Entry point. */
+public fun main() {
+    println("buckthornlever")
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/Main.kt
@@ -0,0 +1,6 @@
+package io.buckthornlever.daemon
+
+/** Entry point. */
+public fun main() {
+    println("buckthornlever")
+}
