Add the thin request path: daemon, HTTP adapters and table codec

A request passes authentication, route match, bounded body read, admission and relay to the least loaded upstream. Streams continue on another upstream from the tokens already received; calls to plain services repeat only when they are idempotent or certainly not run.

--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/connection/UpstreamStatusView.kt
@@ -0,0 +1,9 @@
+package io.buckthornlever.core.connection
+
+import io.buckthornlever.api.process.UpstreamSpec
+
+/** Read access to the status of upstreams. */
+public fun interface UpstreamStatusView {
+    /** The status of [upstream] now. */
+    public fun statusOf(upstream: UpstreamSpec): UpstreamStatus
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/UpstreamSelector.kt
@@ -0,0 +1,9 @@
+package io.buckthornlever.core.request
+
+import io.buckthornlever.api.process.UpstreamSpec
+
+/** Chooses the upstream for one attempt of a request. */
+public fun interface UpstreamSelector {
+    /** The upstream to use, or null when none may take the request. */
+    public fun select(query: SelectionQuery): UpstreamSpec?
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/connection/UpstreamState.kt
@@ -0,0 +1,40 @@
+package io.buckthornlever.daemon.connection
+
+import io.buckthornlever.api.connection.LoadReport
+import io.buckthornlever.api.process.UpstreamSpec
+import io.buckthornlever.core.connection.UpstreamStatus
+import java.util.concurrent.atomic.AtomicInteger
+
+/** What this instance knows about one upstream; written by request threads and the load poller. */
+internal class UpstreamState {
+    val inFlight = AtomicInteger()
+    private val failures = AtomicInteger()
+
+    @Volatile
+    var report: LoadReport? = null
+
+    val healthy: Boolean get() = failures.get() < SUSPECT_AFTER_FAILURES
+
+    /** Counts a failed call; true when the upstream becomes suspect by it. */
+    fun failed(): Boolean = failures.incrementAndGet() == SUSPECT_AFTER_FAILURES
+
+    /** Forgets failures after a success; true when the upstream was suspect. */
+    fun succeeded(): Boolean = failures.getAndSet(0) >= SUSPECT_AFTER_FAILURES
+
+    fun status(spec: UpstreamSpec): UpstreamStatus {
+        val last = report
+        val cold = last?.cold ?: false
+        return UpstreamStatus(
+            inFlight = inFlight.get(),
+            reportedLoad = last?.let { it.running + it.waiting } ?: 0,
+            capacity = if (cold) spec.coldConcurrency else spec.concurrency,
+            cold = cold,
+            leaving = last?.leaving ?: false,
+            healthy = healthy,
+        )
+    }
+
+    private companion object {
+        const val SUSPECT_AFTER_FAILURES = 2
+    }
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
@@ -0,0 +1,137 @@
+package io.buckthornlever.daemon.process
+
+import io.buckthornlever.api.process.Clock
+import io.buckthornlever.api.process.Configuration
+import io.buckthornlever.core.request.LeastLoadedSelector
+import io.buckthornlever.daemon.connection.LoadPoller
+import io.buckthornlever.daemon.connection.UpstreamRegistry
+import io.buckthornlever.daemon.request.AttemptRunner
+import io.buckthornlever.daemon.request.CallerServer
+import io.buckthornlever.daemon.request.FixedAdmissionGate
+import io.buckthornlever.daemon.request.ModelRelay
+import io.buckthornlever.daemon.request.PlainRelay
+import io.buckthornlever.daemon.request.RequestPipeline
+import io.buckthornlever.platform.connection.HttpUpstreamClient
+import io.buckthornlever.platform.process.HttpObjectStore
+import io.buckthornlever.platform.process.SystemClock
+import java.nio.file.Path
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
+import java.util.random.RandomGenerator
+
+/** One entry instance. An ordinary object: several can run in one JVM. */
+public class Daemon(
+    private val settings: Settings,
+    private val clock: Clock = SystemClock,
+    random: RandomGenerator = RandomGenerator.getDefault(),
+) : AutoCloseable {
+    private val log = EventLog(settings.instance.id.value)
+    private val metrics = DaemonMetrics()
+    private val configuration = ConfigurationHolder(log, metrics)
+    private val upstreams = UpstreamRegistry()
+    private val client = HttpUpstreamClient()
+    private val store = HttpObjectStore(settings.platform.objectStoreUrl)
+    private val attempts = AttemptRunner(client, upstreams, metrics, log)
+    private val selector = LeastLoadedSelector(upstreams)
+    private val pipeline =
+        RequestPipeline(
+            configuration = configuration,
+            gate = FixedAdmissionGate(settings.limits.concurrentRequests),
+            models = ModelRelay(selector, attempts, clock, log),
+            plain = PlainRelay(selector, attempts, clock),
+            clock = clock,
+            random = random,
+            metrics = metrics,
+            log = log,
+        )
+    private val watcher = StoreWatcher(store, configuration, log, random)
+    private val poller = LoadPoller(client, configuration, upstreams, log)
+    private val callers = CallerServer(settings, pipeline)
+    private val operators =
+        OperatorServer(
+            settings = settings,
+            token = KeyFile(Path.of(settings.keys.operatorTokenFile)),
+            configuration = configuration,
+            editor = ConfigurationEditor(store, configuration, log),
+            metrics = metrics,
+            ready = ::ready,
+            dump = ::dump,
+        )
+
+    /** Base URL of the callers' interface. */
+    public val callerUrl: String get() = "http://${settings.listen.address}:${callers.port}"
+
+    /** Base URL of the operators' interface. */
+    public val operatorUrl: String get() = "http://${settings.listen.address}:${operators.port}"
+
+    /** The configuration in effect. */
+    public val effectiveConfiguration: Configuration get() = configuration.get()
+
+    /** True when the instance has a configuration and takes requests. */
+    public fun ready(): Boolean = !pipeline.closing && configuration.get().routes.revision > 0 && configuration.get().pools.revision > 0
+
+    /** Starts all servers and threads. */
+    public fun start() {
+        operators.start()
+        callers.start()
+        watcher.start()
+        poller.start()
+        log.write(LogEvent.STARTED, "callers" to callerUrl, "operators" to operatorUrl, "site" to settings.site)
+    }
+
+    /** Refuses new requests, waits for the open ones up to the grace period, then stops everything. */
+    override fun close() {
+        log.write(LogEvent.SHUTDOWN_STARTED, "open" to pipeline.openRequests)
+        pipeline.closing = true
+        awaitOpenRequests(settings.shutdownGrace)
+        if (pipeline.openRequests > 0) log.write(LogEvent.SHUTDOWN_GRACE_OVER, "open" to pipeline.openRequests)
+        watcher.close()
+        poller.close()
+        callers.close()
+        operators.close()
+        log.write(LogEvent.STOPPED)
+    }
+
+    private fun awaitOpenRequests(grace: Duration) {
+        val end = clock.monotonicNanos() + grace.toNanos()
+        while (pipeline.openRequests > 0 && clock.monotonicNanos() < end) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(DRAIN_CHECK_MILLIS))
+        }
+    }
+
+    private fun dump(): StateDump {
+        val current = configuration.get()
+        return StateDump(
+            instance = settings.instance.id.value,
+            failureDomain = settings.instance.failureDomain.value,
+            site = settings.site,
+            version = BuildVersion.text,
+            ready = ready(),
+            openRequests = pipeline.openRequests,
+            routesRevision = current.routes.revision,
+            poolsRevision = current.pools.revision,
+            accountsRevision = current.accounts.revision,
+            domainsOut = current.pools.domainsOut.map { it.value },
+            upstreams = current.pools.pools.flatMap { it.upstreams }.take(MAX_DUMPED_UPSTREAMS).map { spec ->
+                val status = upstreams.statusOf(spec)
+                StateDump.UpstreamDump(
+                    id = spec.id.value,
+                    failureDomain = spec.failureDomain.value,
+                    version = spec.version.value,
+                    inFlight = status.inFlight,
+                    reportedLoad = status.reportedLoad,
+                    capacity = status.capacity,
+                    cold = status.cold,
+                    leaving = status.leaving,
+                    healthy = status.healthy,
+                )
+            },
+        )
+    }
+
+    private companion object {
+        const val DRAIN_CHECK_MILLIS = 20L
+        const val MAX_DUMPED_UPSTREAMS = 200
+    }
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/OperatorServer.kt
@@ -0,0 +1,177 @@
+package io.buckthornlever.daemon.process
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapBoth
+import io.buckthornlever.api.process.ConfigurationError
+import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.process.ObjectKey
+import io.buckthornlever.api.process.ObjectVersion
+import io.buckthornlever.api.process.StoreError
+import io.buckthornlever.core.process.TableCodec
+import io.javalin.Javalin
+import io.javalin.http.Context
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+
+/** HTTP server for operators: health, metrics, state dump and changes of the tables. */
+internal class OperatorServer(
+    private val settings: Settings,
+    private val token: KeyFile,
+    private val configuration: ConfigurationHolder,
+    private val editor: ConfigurationEditor,
+    private val metrics: DaemonMetrics,
+    private val ready: () -> Boolean,
+    private val dump: () -> StateDump,
+) : AutoCloseable {
+    private val app: Javalin =
+        Javalin.create { config ->
+            config.startup.showJavalinBanner = false
+            config.startup.showOldJavalinVersionWarning = false
+            config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS).apply { name = "operator" }
+            config.routes.get("/healthz") { it.result("ok") }
+            config.routes.get("/readyz") { if (ready()) it.result("ready") else it.status(503).result("not ready") }
+            config.routes.get("/metrics") { it.contentType("text/plain; version=0.0.4").result(metrics.text()) }
+            config.routes.get("/admin/dump") { ctx -> authorized(ctx) { ctx.json(JSON.encodeToString(StateDump.serializer(), dump())) } }
+            config.routes.get("/admin/status") { ctx -> authorized(ctx) { ctx.json(JSON.encodeToString(StateDump.serializer(), dump())) } }
+            config.routes.get("/admin/config/{table}") { ctx -> authorized(ctx) { read(ctx) } }
+            config.routes.put("/admin/config/{table}") { ctx -> authorized(ctx) { write(ctx) } }
+            config.routes.post("/admin/domains/{domain}/take-out") { ctx -> authorized(ctx) { setDomain(ctx, out = true) } }
+            config.routes.post("/admin/domains/{domain}/return") { ctx -> authorized(ctx) { setDomain(ctx, out = false) } }
+        }
+
+    /** Port in use after [start]. */
+    val port: Int get() = app.port()
+
+    fun start() {
+        app.start(settings.listen.address, settings.listen.operatorPort)
+    }
+
+    override fun close() {
+        app.stop()
+    }
+
+    private fun authorized(
+        context: Context,
+        action: () -> Unit,
+    ) {
+        val given = context.header("Authorization")?.removePrefix("Bearer ").orEmpty()
+        if (token.matches(given)) action() else problem(context, 401, "unauthenticated", "the operator token is missing or wrong")
+    }
+
+    private fun read(context: Context) {
+        val current = configuration.get()
+        val (text, revision) =
+            when (keyOf(context)) {
+                ObjectKey.ROUTES -> TableCodec.encode(current.routes) to current.routes.revision
+                ObjectKey.POOLS -> TableCodec.encode(current.pools) to current.pools.revision
+                ObjectKey.ACCOUNTS -> TableCodec.encode(current.accounts) to current.accounts.revision
+                else -> return problem(context, 404, "not-found", UNKNOWN_TABLE)
+            }
+        context.header("ETag", "\"$revision\"").json(text)
+    }
+
+    private fun write(context: Context) {
+        val key = keyOf(context) ?: return problem(context, 404, "not-found", UNKNOWN_TABLE)
+        val expected = context.header("If-Match")?.trim('"')?.toLongOrNull()
+        val create = context.header("If-None-Match") == "*"
+        if (expected == null &&
+            !create
+        ) {
+            return problem(context, 428, "precondition-required", "send If-Match with the revision that the change is based on")
+        }
+        answer(context, editor.replace(key, context.body(), if (create) null else expected?.let(::ObjectVersion)))
+    }
+
+    private fun setDomain(
+        context: Context,
+        out: Boolean,
+    ) {
+        answer(context, editor.setDomain(FailureDomain(context.pathParam("domain")), out))
+    }
+
+    private fun answer(
+        context: Context,
+        result: Result<ObjectVersion, EditError>,
+    ): Unit =
+        result.mapBoth(
+            success = { context.header("ETag", "\"${it.value}\"").json(buildJsonObject { put("revision", it.value) }.toString()) },
+            failure = { refuse(context, it) },
+        ).let { }
+
+    private fun refuse(
+        context: Context,
+        error: EditError,
+    ) {
+        when (error) {
+            is EditError.UnknownDomain -> problem(context, 404, "unknown-domain", "no upstream is in failure domain ${error.domain}")
+            is EditError.Refused -> refuseTable(context, error.error)
+            is EditError.Store ->
+                when (val cause = error.error) {
+                    is StoreError.Conflict -> problem(context, 412, "conflict", "the table has changed; read it again")
+                    StoreError.TooLarge -> problem(context, 413, "too-large", "the table is larger than the store's limit of 1 MB")
+                    else -> problem(context, 503, "store-unavailable", "the change is not accepted: $cause")
+                }
+        }
+    }
+
+    private fun refuseTable(
+        context: Context,
+        error: ConfigurationError,
+    ) {
+        when (error) {
+            is ConfigurationError.Malformed -> problem(context, 400, "malformed", error.detail)
+            is ConfigurationError.Invalid -> {
+                val document =
+                    buildJsonObject {
+                        put("status", 422)
+                        put("code", "invalid")
+                        put("detail", "the table breaks rules and is not accepted")
+                        putJsonArray("findings") {
+                            error.findings.forEach {
+                                addJsonObject {
+                                    put("path", it.path)
+                                    put("message", it.message)
+                                }
+                            }
+                        }
+                    }
+                context.status(422).contentType(PROBLEM).result(document.toString())
+            }
+        }
+    }
+
+    private fun problem(
+        context: Context,
+        status: Int,
+        code: String,
+        detail: String,
+    ) {
+        val document =
+            buildJsonObject {
+                put("status", status)
+                put("code", code)
+                put("detail", detail)
+            }
+        context.status(status).contentType(PROBLEM).result(document.toString())
+    }
+
+    private fun keyOf(context: Context): ObjectKey? =
+        when (context.pathParam("table")) {
+            "routes" -> ObjectKey.ROUTES
+            "pools" -> ObjectKey.POOLS
+            "accounts" -> ObjectKey.ACCOUNTS
+            else -> null
+        }
+
+    private companion object {
+        const val MIN_THREADS = 4
+        const val MAX_THREADS = 16
+        const val PROBLEM = "application/problem+json"
+        const val UNKNOWN_TABLE = "tables are routes, pools and accounts"
+        val JSON = Json { prettyPrint = true }
+    }
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/AttemptRunner.kt
@@ -0,0 +1,50 @@
+package io.buckthornlever.daemon.request
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.buckthornlever.api.connection.UpstreamClient
+import io.buckthornlever.api.connection.UpstreamError
+import io.buckthornlever.api.connection.UpstreamRequest
+import io.buckthornlever.api.connection.UpstreamResponse
+import io.buckthornlever.api.process.UpstreamSpec
+import io.buckthornlever.daemon.connection.UpstreamRegistry
+import io.buckthornlever.daemon.process.DaemonMetrics
+import io.buckthornlever.daemon.process.EventLog
+import io.buckthornlever.daemon.process.LogEvent
+
+/** Makes single calls to upstreams and keeps the upstreams' states up to date. */
+internal class AttemptRunner(
+    private val client: UpstreamClient,
+    private val upstreams: UpstreamRegistry,
+    private val metrics: DaemonMetrics,
+    private val log: EventLog,
+) {
+    /** Calls [upstream] and hands the answer to [use]; the call counts as in flight until [use] returns. */
+    fun <T> run(
+        upstream: UpstreamSpec,
+        request: UpstreamRequest,
+        use: (Result<UpstreamResponse, UpstreamError>) -> T,
+    ): T {
+        val state = upstreams.stateOf(upstream)
+        state.inFlight.incrementAndGet()
+        try {
+            val result = client.call(upstream, request)
+            result
+                .onSuccess { metrics.attempts.labelValues("answered").inc() }
+                .onFailure { failed(upstream, it) }
+            return use(result)
+        } finally {
+            state.inFlight.decrementAndGet()
+        }
+    }
+
+    /** Counts a failure of [upstream] that showed after the head of its answer. */
+    fun failed(
+        upstream: UpstreamSpec,
+        error: UpstreamError,
+    ) {
+        metrics.attempts.labelValues(error.javaClass.simpleName.lowercase()).inc()
+        if (upstreams.stateOf(upstream).failed()) log.write(LogEvent.UPSTREAM_SUSPECT, "upstream" to upstream.id, "error" to error)
+    }
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/FixedAdmissionGate.kt
@@ -0,0 +1,17 @@
+package io.buckthornlever.daemon.request
+
+import io.buckthornlever.api.process.ClientAccount
+import io.buckthornlever.api.request.WorkClass
+import java.util.concurrent.Semaphore
+
+/** Admits up to a fixed number of requests at once, whoever sends them. */
+internal class FixedAdmissionGate(
+    limit: Int,
+) : AdmissionGate {
+    private val permits = Semaphore(limit)
+
+    override fun enter(
+        account: ClientAccount,
+        workClass: WorkClass,
+    ): AutoCloseable? = if (permits.tryAcquire()) AutoCloseable { permits.release() } else null
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelSink.kt
@@ -0,0 +1,15 @@
+package io.buckthornlever.daemon.request
+
+import io.buckthornlever.api.request.RequestError
+
+/** Receives the tokens of a model's answer and brings them to the caller. */
+internal interface ModelSink {
+    /** Takes the next token's chunk. Throws `IOException` when the caller is gone. */
+    fun chunk(chunk: ModelChunk)
+
+    /** Ends a complete answer. */
+    fun complete()
+
+    /** Ends an answer that cannot be completed. */
+    fun fail(error: RequestError)
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/RequestScope.kt
@@ -0,0 +1,14 @@
+package io.buckthornlever.daemon.request
+
+import io.buckthornlever.api.process.ClientAccount
+import io.buckthornlever.api.process.Configuration
+import io.buckthornlever.api.process.Route
+
+/** What stays the same for the life of one request. */
+internal class RequestScope(
+    val exchange: CallerExchange,
+    val account: ClientAccount,
+    val route: Route,
+    val configuration: Configuration,
+    val deadlineNanos: Long,
+)
--- /dev/null
+++ b/buckthornlever-platform/src/main/kotlin/io/buckthornlever/platform/connection/HttpUpstreamClient.kt
@@ -0,0 +1,133 @@
+package io.buckthornlever.platform.connection
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.buckthornlever.api.connection.Header
+import io.buckthornlever.api.connection.LoadReport
+import io.buckthornlever.api.connection.UpstreamClient
+import io.buckthornlever.api.connection.UpstreamError
+import io.buckthornlever.api.connection.UpstreamRequest
+import io.buckthornlever.api.connection.UpstreamResponse
+import io.buckthornlever.api.process.UpstreamSpec
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import okhttp3.ConnectionPool
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import java.io.IOException
+import java.net.SocketTimeoutException
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/**
+ * Calls upstreams over HTTP/1.1 with OkHttp.
+ *
+ * OkHttp's own retry is off: it repeats a request on another connection without telling,
+ * which would run a non-repeatable call twice.
+ */
+public class HttpUpstreamClient : UpstreamClient {
+    private val base: OkHttpClient =
+        OkHttpClient
+            .Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .connectTimeout(CONNECT_TIMEOUT)
+            .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
+            .eventListener(SendTracker.Listener)
+            .build()
+    private val byProgressTimeout = ConcurrentHashMap<Long, OkHttpClient>()
+    private val loadClient = base.newBuilder().callTimeout(LOAD_TIMEOUT).build()
+
+    override fun call(
+        upstream: UpstreamSpec,
+        request: UpstreamRequest,
+    ): Result<UpstreamResponse, UpstreamError> {
+        val tracker = SendTracker()
+        val httpRequest =
+            try {
+                toHttpRequest(upstream, request, tracker)
+            } catch (e: IllegalArgumentException) {
+                return Err(UpstreamError.NotSent("the call cannot be written as HTTP: ${e.message}"))
+            }
+        val call = clientFor(request.progressTimeoutMillis).newCall(httpRequest)
+        call.timeout().timeout(request.timeoutMillis, TimeUnit.MILLISECONDS)
+        return try {
+            Ok(toResponse(call.execute(), call::cancel))
+        } catch (e: IOException) {
+            Err(toError(e, tracker, request))
+        }
+    }
+
+    override fun load(upstream: UpstreamSpec): Result<LoadReport, UpstreamError> {
+        val request = Request.Builder().url("${upstream.url}/v1/load").build()
+        return try {
+            loadClient.newCall(request).execute().use { response ->
+                if (!response.isSuccessful) return Err(UpstreamError.Refused(response.code, null))
+                Ok(JSON.decodeFromString(LoadReport.serializer(), response.body.string()))
+            }
+        } catch (e: IOException) {
+            Err(UpstreamError.Broken(describe(e)))
+        } catch (e: SerializationException) {
+            Err(UpstreamError.Malformed("load report: ${e.message}"))
+        }
+    }
+
+    private fun clientFor(progressTimeoutMillis: Long): OkHttpClient =
+        byProgressTimeout.computeIfAbsent(progressTimeoutMillis) {
+            base.newBuilder().readTimeout(Duration.ofMillis(it)).build()
+        }
+
+    private fun toHttpRequest(
+        upstream: UpstreamSpec,
+        request: UpstreamRequest,
+        tracker: SendTracker,
+    ): Request {
+        val builder = Request.Builder().url(upstream.url + request.path).tag(SendTracker::class.java, tracker)
+        request.headers.forEach { builder.addHeader(it.name, it.value) }
+        builder.header("X-Request-Id", request.id.value)
+        val bodyAllowed = request.method != "GET" && request.method != "HEAD"
+        builder.method(request.method, if (bodyAllowed) request.body.toRequestBody(null) else null)
+        return builder.build()
+    }
+
+    private fun toResponse(
+        response: Response,
+        cancel: () -> Unit,
+    ): UpstreamResponse =
+        UpstreamResponse(
+            status = response.code,
+            headers = response.headers.map { Header(it.first, it.second) },
+            body = response.body.byteStream(),
+            onClose = {
+                cancel()
+                response.close()
+            },
+        )
+
+    private fun toError(
+        e: IOException,
+        tracker: SendTracker,
+        request: UpstreamRequest,
+    ): UpstreamError =
+        when {
+            !tracker.started -> UpstreamError.NotSent(describe(e))
+            e is SocketTimeoutException -> UpstreamError.Silent(Duration.ofMillis(request.progressTimeoutMillis))
+            else -> UpstreamError.Broken(describe(e))
+        }
+
+    private fun describe(e: IOException): String = e.message ?: e.javaClass.simpleName
+
+    private companion object {
+        val CONNECT_TIMEOUT: Duration = Duration.ofMillis(500)
+        val LOAD_TIMEOUT: Duration = Duration.ofMillis(1_000)
+        const val MAX_IDLE_CONNECTIONS = 256
+
+        // Idle connections close early because a silent one cannot be told from an idle one.
+        const val IDLE_CONNECTION_SECONDS = 15L
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/buckthornlever-platform/src/main/kotlin/io/buckthornlever/platform/process/HttpObjectStore.kt
@@ -0,0 +1,168 @@
+package io.buckthornlever.platform.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import io.buckthornlever.api.process.ObjectKey
+import io.buckthornlever.api.process.ObjectListing
+import io.buckthornlever.api.process.ObjectStore
+import io.buckthornlever.api.process.ObjectVersion
+import io.buckthornlever.api.process.StoreError
+import io.buckthornlever.api.process.StoredObject
+import io.buckthornlever.platform.connection.SendTracker
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import okhttp3.ConnectionPool
+import okhttp3.HttpUrl
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import java.io.IOException
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+
+/** The platform's object API over HTTP. [baseUrl] has no trailing slash. */
+public class HttpObjectStore(
+    private val baseUrl: String,
+    callTimeout: Duration = DEFAULT_CALL_TIMEOUT,
+) : ObjectStore {
+    private val client: OkHttpClient =
+        OkHttpClient
+            .Builder()
+            .retryOnConnectionFailure(false)
+            .connectTimeout(CONNECT_TIMEOUT)
+            .readTimeout(callTimeout)
+            .callTimeout(callTimeout)
+            .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
+            .eventListener(SendTracker.Listener)
+            .build()
+
+    override fun get(key: ObjectKey): Result<StoredObject, StoreError> =
+        exchange(client, request(key).get(), changing = false) { response ->
+            StoredObject(key, version(response), response.body.string())
+        }
+
+    override fun create(
+        key: ObjectKey,
+        value: String,
+    ): Result<ObjectVersion, StoreError> =
+        exchange(client, request(key).put(body(value)).header("If-None-Match", "*"), changing = true, ::version)
+
+    override fun update(
+        key: ObjectKey,
+        value: String,
+        expected: ObjectVersion,
+    ): Result<ObjectVersion, StoreError> =
+        exchange(client, request(key).put(body(value)).header("If-Match", quote(expected)), changing = true, ::version)
+
+    override fun delete(
+        key: ObjectKey,
+        expected: ObjectVersion,
+    ): Result<Unit, StoreError> =
+        exchange(client, request(key).delete().header("If-Match", quote(expected)), changing = true) { }
+
+    override fun list(prefix: String): Result<ObjectListing, StoreError> {
+        val url = "$baseUrl/v1/objects".toHttpUrl().newBuilder().addQueryParameter("prefix", prefix).build()
+        return listing(client, url)
+    }
+
+    override fun watch(
+        prefix: String,
+        since: ObjectVersion,
+        wait: Duration,
+    ): Result<ObjectListing, StoreError> {
+        val url =
+            "$baseUrl/v1/watch"
+                .toHttpUrl()
+                .newBuilder()
+                .addQueryParameter("prefix", prefix)
+                .addQueryParameter("since", since.value.toString())
+                .addQueryParameter("waitSeconds", wait.toSeconds().toString())
+                .build()
+        val limit = wait.plus(WATCH_MARGIN)
+        return listing(client.newBuilder().readTimeout(limit).callTimeout(limit).build(), url)
+    }
+
+    private fun listing(
+        http: OkHttpClient,
+        url: HttpUrl,
+    ): Result<ObjectListing, StoreError> =
+        exchange(http, Request.Builder().url(url), changing = false) { response ->
+            JSON.decodeFromString(WireListing.serializer(), response.body.string())
+        }.map { wire ->
+            ObjectListing(
+                ObjectVersion(wire.revision),
+                wire.objects.map { StoredObject(ObjectKey(it.key), ObjectVersion(it.version), it.value) },
+            )
+        }
+
+    private fun request(key: ObjectKey): Request.Builder = Request.Builder().url("$baseUrl/v1/objects/${key.value}")
+
+    private fun body(value: String): RequestBody = value.toByteArray().toRequestBody(null)
+
+    private fun quote(version: ObjectVersion): String = "\"${version.value}\""
+
+    private fun version(response: Response): ObjectVersion =
+        ObjectVersion(response.header("ETag")?.trim('"')?.toLongOrNull() ?: throw IOException("response without ETag"))
+
+    private fun <T> exchange(
+        http: OkHttpClient,
+        builder: Request.Builder,
+        changing: Boolean,
+        read: (Response) -> T,
+    ): Result<T, StoreError> {
+        val tracker = SendTracker()
+        val request = builder.tag(SendTracker::class.java, tracker).build()
+        return try {
+            http.newCall(request).execute().use { response ->
+                if (response.isSuccessful) Ok(read(response)) else Err(toError(response))
+            }
+        } catch (e: IOException) {
+            Err(lost(e.message ?: e.javaClass.simpleName, changing && tracker.started))
+        } catch (e: SerializationException) {
+            Err(lost("unreadable response: ${e.message}", changing))
+        }
+    }
+
+    private fun lost(
+        detail: String,
+        mayHaveEffect: Boolean,
+    ): StoreError = if (mayHaveEffect) StoreError.AnswerLost(detail) else StoreError.Unavailable(detail)
+
+    private fun toError(response: Response): StoreError =
+        when (response.code) {
+            404 -> StoreError.NotFound
+            412 -> StoreError.Conflict(response.header("ETag")?.trim('"')?.toLongOrNull()?.let(::ObjectVersion))
+            413 -> StoreError.TooLarge
+            429 -> StoreError.RateLimited(Duration.ofSeconds(response.header("Retry-After")?.toLongOrNull() ?: 1))
+            503 -> StoreError.Unavailable("outage")
+            else -> StoreError.AnswerLost("status ${response.code}")
+        }
+
+    @Serializable
+    private class WireObject(
+        val key: String,
+        val version: Long,
+        val value: String? = null,
+    )
+
+    @Serializable
+    private class WireListing(
+        val revision: Long,
+        val objects: List<WireObject>,
+    )
+
+    private companion object {
+        val DEFAULT_CALL_TIMEOUT: Duration = Duration.ofSeconds(2)
+        val CONNECT_TIMEOUT: Duration = Duration.ofMillis(500)
+        val WATCH_MARGIN: Duration = Duration.ofSeconds(2)
+        const val MAX_IDLE_CONNECTIONS = 16
+        const val IDLE_CONNECTION_SECONDS = 15L
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
