--- /dev/null
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/connection/OperatorClient.kt
@@ -0,0 +1,58 @@
+package io.buckthornlever.cli.connection
+
+import io.buckthornlever.cli.process.CommandFailure
+import io.buckthornlever.cli.process.ExitCode
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import java.io.IOException
+import java.time.Duration
+
+/** Talks to the operators' interface of one daemon. */
+internal class OperatorClient(
+    private val baseUrl: String,
+    private val token: String,
+) {
+    private val client = OkHttpClient.Builder().callTimeout(CALL_TIMEOUT).retryOnConnectionFailure(false).build()
+
+    fun get(path: String): Answer = send(Request.Builder().url(baseUrl + path).get())
+
+    fun post(path: String): Answer = send(Request.Builder().url(baseUrl + path).post(ByteArray(0).toRequestBody()))
+
+    /** Replaces the document at [path]; [etag] null creates it. */
+    fun put(
+        path: String,
+        text: String,
+        etag: String?,
+    ): Answer {
+        val request = Request.Builder().url(baseUrl + path).put(text.toByteArray().toRequestBody())
+        if (etag == null) request.header("If-None-Match", "*") else request.header("If-Match", etag)
+        return send(request)
+    }
+
+    private fun send(builder: Request.Builder): Answer =
+        try {
+            client.newCall(builder.header("Authorization", "Bearer $token").build()).execute().use {
+                Answer(it.code, it.header("ETag"), it.body.string())
+            }
+        } catch (e: IOException) {
+            throw CommandFailure(ExitCode.FAILED, "cannot reach $baseUrl: ${e.message}")
+        }
+
+    /** Answer of the daemon. */
+    internal class Answer(
+        val status: Int,
+        val etag: String?,
+        val body: String,
+    ) {
+        /** The body of a successful answer; fails the command otherwise. */
+        fun bodyOrFail(): String {
+            if (status in 200..299) return body
+            throw CommandFailure(ExitCode.FAILED, "refused with status $status: $body")
+        }
+    }
+
+    private companion object {
+        val CALL_TIMEOUT: Duration = Duration.ofSeconds(10)
+    }
+}
--- /dev/null
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/process/DomainCommand.kt
@@ -0,0 +1,29 @@
+package io.buckthornlever.cli.process
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.default
+
+/** `domain`: takes a failure domain out of service or returns it. */
+@OptIn(ExperimentalCli::class)
+internal class DomainCommand : OperatorCommand("domain", "Take a failure domain out of service or return it") {
+    private val action by argument(ArgType.Choice(listOf("take-out", "return"), { it }), description = "What to do")
+    private val domain by argument(ArgType.String, description = "Name of the failure domain")
+    private val waitSeconds by option(
+        ArgType.Int,
+        "wait-seconds",
+        description = "How long to wait until the change is in effect everywhere",
+    ).default(DEFAULT_WAIT_SECONDS)
+
+    override fun perform() {
+        if (!NAME.matches(domain)) throw CommandFailure(ExitCode.USAGE, "'$domain' is not a failure domain name")
+        val answer = onAny { it.post("/admin/domains/$domain/$action").bodyOrFail() }
+        EffectWaiter(clients(), "pools", JsonText.revision(answer)).await(waitSeconds)
+        println(if (json) answer else "$domain: $action accepted with revision ${JsonText.revision(answer)}; in effect on every instance")
+    }
+
+    private companion object {
+        val NAME = Regex("[A-Za-z0-9._-]{1,64}")
+        const val DEFAULT_WAIT_SECONDS = 15
+    }
+}
--- /dev/null
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/process/DumpCommand.kt
@@ -0,0 +1,22 @@
+package io.buckthornlever.cli.process
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+
+/** `dump`: the whole state of one instance. */
+@OptIn(ExperimentalCli::class)
+internal class DumpCommand : OperatorCommand("dump", "Print the state of one instance") {
+    private val instance by argument(ArgType.String, description = "Id of the instance")
+
+    override fun perform() {
+        val dump =
+            clients()
+                .asSequence()
+                .map { it.get("/admin/dump").bodyOrFail() }
+                .firstOrNull { (JsonText.objectOf(it)["instance"] as? JsonPrimitive)?.contentOrNull == instance }
+                ?: throw CommandFailure(ExitCode.FAILED, "none of the given servers is instance '$instance'")
+        println(JsonText.pretty(dump))
+    }
+}
--- /dev/null
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/process/StatusCommand.kt
@@ -0,0 +1,39 @@
+package io.buckthornlever.cli.process
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+
+/** `status`: a line for each daemon with its revisions and load. */
+@OptIn(ExperimentalCli::class)
+internal class StatusCommand : OperatorCommand("status", "Show each instance with the revisions in effect") {
+    override fun perform() {
+        val all = clients().map { it.get("/admin/status").bodyOrFail() }
+        if (json) return println("[${all.joinToString(",")}]")
+        println(ROW.format("INSTANCE", "DOMAIN", "READY", "OPEN", "ROUTES", "POOLS", "OUT"))
+        all.map(JsonText::objectOf).forEach { println(row(it)) }
+    }
+
+    private fun row(status: JsonObject): String =
+        ROW.format(
+            text(status, "instance"),
+            text(status, "failureDomain"),
+            text(status, "ready"),
+            text(status, "openRequests"),
+            text(status, "routesRevision"),
+            text(status, "poolsRevision"),
+            (status["domainsOut"] as? JsonArray)?.joinToString(",") { (it as JsonPrimitive).content }.orEmpty().ifEmpty { "-" },
+        )
+
+    private fun text(
+        status: JsonObject,
+        key: String,
+    ): String = (status[key] as? JsonPrimitive)?.contentOrNull ?: "-"
+
+    private companion object {
+        const val ROW = "%-20s %-20s %-6s %6s %8s %8s  %s"
+    }
+}
--- /dev/null
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/process/TableCommand.kt
@@ -0,0 +1,70 @@
+package io.buckthornlever.cli.process
+
+import com.github.michaelbull.result.getError
+import io.buckthornlever.api.process.ConfigurationError
+import io.buckthornlever.core.process.TableCodec
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.default
+import kotlinx.cli.optional
+
+/** `routes` and `pools`: reads, checks, compares and replaces a table. */
+@OptIn(ExperimentalCli::class)
+internal class TableCommand(
+    private val table: String,
+) : OperatorCommand(table, "Read or change the $table table") {
+    private val action by argument(ArgType.Choice(listOf("get", "put", "validate", "diff"), { it }), description = "What to do")
+    private val file by argument(ArgType.String, description = "File with the table, - for standard input").optional()
+    private val waitSeconds by option(
+        ArgType.Int,
+        "wait-seconds",
+        description = "How long to wait until the change is in effect everywhere",
+    ).default(DEFAULT_WAIT_SECONDS)
+
+    override fun perform() {
+        when (action) {
+            "get" -> println(JsonText.pretty(onAny { it.get(path()) }.bodyOrFail()))
+            "put" -> put(input())
+            "validate" -> validate(input())
+            else -> diff(input())
+        }
+    }
+
+    private fun put(text: String) {
+        val revision =
+            onAny { client ->
+                val current = client.get(path())
+                client.put(path(), text, current.etag?.takeUnless { it == NO_REVISION }).bodyOrFail()
+            }
+        EffectWaiter(clients(), table, JsonText.revision(revision)).await(waitSeconds)
+        println(if (json) revision else "accepted with revision ${JsonText.revision(revision)}; in effect on every instance")
+    }
+
+    private fun validate(text: String) {
+        val error = if (table == "routes") TableCodec.routes(text, 0).getError() else TableCodec.pools(text, 0).getError()
+        if (error != null) throw CommandFailure(ExitCode.USAGE, describe(error))
+        println("valid")
+    }
+
+    private fun diff(text: String) {
+        val stored = JsonText.pretty(onAny { it.get(path()) }.bodyOrFail()).lines()
+        val changed = JsonText.pretty(text).lines()
+        (stored - changed.toSet()).forEach { println("- $it") }
+        (changed - stored.toSet()).forEach { println("+ $it") }
+    }
+
+    private fun describe(error: ConfigurationError): String =
+        when (error) {
+            is ConfigurationError.Malformed -> error.detail
+            is ConfigurationError.Invalid -> error.findings.joinToString("\n")
+        }
+
+    private fun input(): String = readFile(file ?: throw CommandFailure(ExitCode.USAGE, "$table $action needs a file"))
+
+    private fun path(): String = "/admin/config/$table"
+
+    private companion object {
+        const val NO_REVISION = "\"0\""
+        const val DEFAULT_WAIT_SECONDS = 15
+    }
+}
