--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelRelay.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelRelay.kt
@@ -57,11 +57,15 @@
         return end(sink, RequestError(ErrorCode.UPSTREAM_FAILED, executed(sent), "every upstream that was tried failed"))
     }
 
+    // A silent connection or a foreign chunk says little about the upstream, so one that failed may be tried again when no other is left.
     private fun select(
         scope: RequestScope,
         body: ModelBody,
         excluded: Set<UpstreamId>,
-    ): UpstreamSpec? = selector.select(SelectionQuery(scope.route, scope.configuration.pools, body.prompt, excluded))
+    ): UpstreamSpec? {
+        val query = SelectionQuery(scope.route, scope.configuration.pools, body.prompt, excluded)
+        return selector.select(query) ?: selector.select(query.copy(excluded = emptySet())).takeIf { excluded.isNotEmpty() }
+    }
 
     private fun attempt(
         scope: RequestScope,
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
@@ -59,8 +59,7 @@
                 return Err(RequestError(ErrorCode.DEADLINE_EXCEEDED, executed(mayHaveRun), "the route's time limit is over"))
             }
             val upstream =
-                selector.select(SelectionQuery(scope.route, scope.configuration.pools, excluded = excluded))
-                    ?: return Err(noUpstream(mayHaveRun))
+                select(scope, excluded) ?: return Err(noUpstream(mayHaveRun))
             val error = attempt(scope, body, upstream, number, remaining).mapBoth(success = { return Ok(it) }, failure = { it })
             mayHaveRun = mayHaveRun || error !is UpstreamError.NotSent
             if (mayHaveRun && !scope.route.workClass.idempotent) {
@@ -71,6 +70,15 @@
         return Err(RequestError(ErrorCode.UPSTREAM_FAILED, executed(mayHaveRun), "every upstream that was tried failed"))
     }
 
+    // One that failed may be tried again when no other is left: a silent connection says little about the upstream.
+    private fun select(
+        scope: RequestScope,
+        excluded: Set<UpstreamId>,
+    ): UpstreamSpec? {
+        val query = SelectionQuery(scope.route, scope.configuration.pools, excluded = excluded)
+        return selector.select(query) ?: selector.select(query.copy(excluded = emptySet())).takeIf { excluded.isNotEmpty() }
+    }
+
     private fun attempt(
         scope: RequestScope,
         body: ByteArray,
--- /dev/null
+++ b/buckthornlever-platform/src/test/kotlin/io/buckthornlever/platform/connection/HttpUpstreamClientTest.kt
@@ -0,0 +1,73 @@
+package io.buckthornlever.platform.connection
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.buckthornlever.api.connection.UpstreamError
+import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.connection.UpstreamRequest
+import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.process.UpstreamSpec
+import io.buckthornlever.api.request.RequestId
+import io.buckthornlever.api.version.VersionLabel
+import mockwebserver3.MockResponse
+import mockwebserver3.MockWebServer
+import mockwebserver3.SocketEffect
+import org.junit.jupiter.api.AfterEach
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class HttpUpstreamClientTest {
+    private val server = MockWebServer().apply { start() }
+    private val client = HttpUpstreamClient()
+    private val upstream = UpstreamSpec(UpstreamId("u"), "http://127.0.0.1:${server.port}", FailureDomain("a"), VersionLabel("v1"))
+
+    @AfterEach
+    fun close() = server.close()
+
+    @Test
+    fun `a refused connection is reported as not sent`() {
+        server.close()
+        assertIs<UpstreamError.NotSent>(client.call(upstream, request()).getError())
+    }
+
+    @Test
+    fun `a connection that breaks after the request is never reported as not sent`() {
+        server.enqueue(MockResponse.Builder().onResponseStart(SocketEffect.ShutdownConnection).build())
+        assertIs<UpstreamError.Broken>(client.call(upstream, request()).getError())
+        assertEquals(1, server.requestCount)
+    }
+
+    @Test
+    fun `a broken connection from the pool is not repeated behind the caller's back`() {
+        server.enqueue(MockResponse.Builder().body("ok").build())
+        client.call(upstream, request()).get()!!.use { it.body.readAllBytes() }
+        server.enqueue(MockResponse.Builder().onResponseStart(SocketEffect.ShutdownConnection).build())
+        server.enqueue(MockResponse.Builder().body("second run").build())
+        assertIs<UpstreamError.Broken>(client.call(upstream, request()).getError())
+        assertEquals(2, server.requestCount)
+    }
+
+    @Test
+    fun `silence past the progress timeout is told from a broken connection`() {
+        server.enqueue(MockResponse.Builder().onResponseStart(SocketEffect.Stall).build())
+        assertIs<UpstreamError.Silent>(client.call(upstream, request()).getError())
+    }
+
+    @Test
+    fun `a path that is no URL is refused without a call`() {
+        val bad = UpstreamSpec(UpstreamId("u"), "http://", FailureDomain("a"), VersionLabel("v1"))
+        assertIs<UpstreamError.NotSent>(client.call(bad, request()).getError())
+    }
+
+    private fun request(): UpstreamRequest =
+        UpstreamRequest(
+            RequestId("r-1"),
+            "POST",
+            "/pay",
+            emptyList(),
+            "{}".toByteArray(),
+            timeoutMillis = 5_000,
+            progressTimeoutMillis = 300,
+        )
+}
