--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/BatchScheduler.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/BatchScheduler.kt
@@ -27,6 +27,7 @@
     private val arrived = lock.newCondition()
     private val waitingJobs = PriorityQueue(compareBy<EngineJob>({ it.request.priority }, { it.arrival }))
     private val batch = ArrayList<EngineJob>()
+    private val endedSequences = LinkedHashMap<String, List<String>>()
     private var closed = false
     private val thread = Thread(::run, "standin-batch").apply { isDaemon = true }
 
@@ -68,11 +69,12 @@
         lock.withLock {
             val jobs = batch + waitingJobs
             jobs.forEach { finish(it, EngineOutcome.CRASHED) }
+            endedSequences.clear()
             jobs.map { it.request.id }
         }
 
-    /** Prompt and answer so far of the request with [id] in flight. */
-    fun sequence(id: String): List<String>? = lock.withLock { find(id)?.sequence?.toList() }
+    /** Prompt and answer so far of the request with [id], in flight or among the last ones that ended. */
+    fun sequence(id: String): List<String>? = lock.withLock { find(id)?.sequence?.toList() ?: endedSequences[id] }
 
     override fun close() {
         lock.withLock {
@@ -185,6 +187,8 @@
         val chain = PrefixBlocks.hashes(job.sequence)
         chain.forEach { computed.add(it) }
         cache.insert(chain)
+        endedSequences[job.request.id] = job.sequence
+        if (endedSequences.size > ENDED_SEQUENCES) endedSequences.remove(endedSequences.keys.first())
     }
 
     private companion object {
@@ -192,6 +196,9 @@
 
         /** A thread that ran late may shorten later steps by this much, so that the mean pace stays as configured. */
         const val MAX_CATCH_UP_NANOS = 20_000_000L
+
+        /** Ended requests whose KV cache can still be exported. */
+        const val ENDED_SEQUENCES = 256
         const val ROUNDING = 1e-9
     }
 }
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineConfig.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineConfig.kt
@@ -17,6 +17,7 @@
  * @property kvMicrosPerToken time to import the KV cache of one token from another engine, in microseconds
  * @property honoursFencing true when orders with an old fencing number are refused
  * @property orderMillis time that the execution of an order takes, in milliseconds
+ * @property coldAfterOrder true when an order that names a version makes the engine cold
  * @property maxThreads threads that handle requests; an open stream occupies one
  */
 public data class EngineConfig(
@@ -34,5 +35,6 @@
     val kvMicrosPerToken: Long = 2,
     val honoursFencing: Boolean = true,
     val orderMillis: Long = 0,
+    val coldAfterOrder: Boolean = true,
     val maxThreads: Int = 600,
 )
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
@@ -10,6 +10,7 @@
 import io.buckthornlever.standin.request.EngineArrival
 import io.buckthornlever.standin.request.EngineCrash
 import io.buckthornlever.standin.request.EngineJob
+import io.buckthornlever.standin.request.EngineOrder
 import io.buckthornlever.standin.request.EngineOutcome
 import io.buckthornlever.standin.request.ForeignChunk
 import io.buckthornlever.standin.request.StreamDisturbance
@@ -61,6 +62,8 @@
     private val loads = LoadSnapshots(clock, ::measure)
     private val server = StandInServer(config.maxThreads, ::register)
     private val timer = StandInTimer()
+    private val orders = OrderEndpoint(config, faults, records, clock, ::execute)
+    private val kvEndpoint = KvEndpoint(config, kv, records, scheduler::sequence)
 
     @Volatile
     private var lastForeignId = "unrelated"
@@ -105,6 +108,7 @@
         scheduler.endAll()
         scheduler.close()
         server.close()
+        kvEndpoint.close()
     }
 
     /** Closes all connections at once, as a process death does; restarts if the faults say so. */
@@ -145,6 +149,10 @@
             },
         )
         routes.get("/v1/cache-events", guarded { it.answer(200, cacheEvents.since(it.context.queryParam("since")?.toLongOrNull() ?: 0)) })
+        routes.post("/v1/orders", guarded(orders::handle))
+        routes.post("/v1/kv/export", guarded { kvEndpoint.export(it, url) })
+        routes.post("/v1/kv/import", guarded(kvEndpoint::import))
+        routes.get("/v1/kv/blobs/{name}", guarded(kvEndpoint::blob))
         routes.get("/healthz", guarded { it.context.status(200) })
     }
 
@@ -234,6 +242,12 @@
         exchange.answer(200, buildJsonObject { put("cancelled", id) })
     }
 
+    private fun execute(order: EngineOrder) {
+        val loaded = order.version ?: return
+        version = loaded
+        if (config.coldAfterOrder) setCold(true)
+    }
+
     private fun started(job: EngineJob) {
         val marker = faults.crashMarker ?: return
         if (job.request.prompt.contains(marker)) die(CrashCause.MARKER)
@@ -246,6 +260,7 @@
         server.abort()
         cache.clear()
         kv.clear()
+        orders.clear()
         val delay = faults.restartAfterMillis
         if (delay != null && cause != CrashCause.RECLAIM) timer.after(delay) { restart() }
     }
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
@@ -138,6 +138,10 @@
         } finally {
             current.release(completed)
         }
+        if (exchange.isSilenced) {
+            records.lost()
+            exchange.hang()
+        }
     }
 
     private fun refuse(context: Context) {
@@ -163,10 +167,8 @@
         fault?.failureStatus?.let { return fail(context, it) }
         if (faults.takeFailureAfter()) return fail(context, FAILURE_STATUS)
         if (faults.takeSilence()) exchange.silence()
-        if (exchange.isSilenced) {
-            records.lost()
-            exchange.hang()
-        } else if (faults.takeLostResponse()) {
+        if (exchange.isSilenced) return true
+        if (faults.takeLostResponse()) {
             records.lost()
             exchange.drop()
         } else {
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/request/EngineOrder.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/request/EngineOrder.kt
@@ -8,6 +8,7 @@
  * @property fencing fencing number that the order carried
  * @property highestFencing highest fencing number that the engine had seen before
  * @property executed false when the order was refused because of its fencing number
+ * @property endedAt end of its execution or refusal
  */
 public data class EngineOrder(
     val fencing: Long,
@@ -15,6 +16,7 @@
     val kind: String,
     val model: String?,
     val version: String?,
-    val at: Instant,
+    val arrivedAt: Instant,
+    val endedAt: Instant,
     val executed: Boolean,
 )
