--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
@@ -4,6 +4,7 @@
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.standin.connection.Exchange
 import io.buckthornlever.standin.connection.StandInServer
+import io.buckthornlever.standin.connection.WireJson
 import io.buckthornlever.standin.request.CompletionRequest
 import io.buckthornlever.standin.request.CompletionWriter
 import io.buckthornlever.standin.request.CrashCause
@@ -17,7 +18,6 @@
 import io.buckthornlever.standin.request.TokenText
 import io.javalin.config.RoutesConfig
 import io.javalin.http.Context
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
@@ -145,7 +145,7 @@
         routes.get(
             "/v1/load",
             guarded {
-                it.answer(200, Json.encodeToJsonElement(LoadReport.serializer(), loads.report(faults.loadLagMillis)))
+                it.answer(200, WireJson.of(loads.report(faults.loadLagMillis)))
             },
         )
         routes.get("/v1/cache-events", guarded { it.answer(200, cacheEvents.since(it.context.queryParam("since")?.toLongOrNull() ?: 0)) })
@@ -260,7 +260,6 @@
         server.abort()
         cache.clear()
         kv.clear()
-        orders.clear()
         val delay = faults.restartAfterMillis
         if (delay != null && cause != CrashCause.RECLAIM) timer.after(delay) { restart() }
     }
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/ObjectStoreFaults.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/ObjectStoreFaults.kt
@@ -6,6 +6,9 @@
 public class ObjectStoreFaults {
     private val lostResponses = AtomicInteger()
 
+    @Volatile
+    private var lostPrefix = ""
+
     /** Every call is answered with 503 and has no effect. */
     @Volatile
     public var outage: Boolean = false
@@ -14,8 +17,18 @@
     @Volatile
     public var delayMillis: Long = 0
 
-    /** The next [count] successful writes take effect, then their connection is closed without an answer. */
-    public fun loseResponses(count: Int): Unit = lostResponses.set(count)
+    /**
+     * The next [count] successful writes to keys that start with [keyPrefix] take effect, then their connection is
+     * closed without an answer.
+     */
+    public fun loseResponses(
+        count: Int,
+        keyPrefix: String = "",
+    ) {
+        lostPrefix = keyPrefix
+        lostResponses.set(count)
+    }
 
-    internal fun takeLostResponse(): Boolean = lostResponses.getAndUpdate { if (it > 0) it - 1 else 0 } > 0
+    internal fun takeLostResponse(key: String): Boolean =
+        key.startsWith(lostPrefix) && lostResponses.getAndUpdate { if (it > 0) it - 1 else 0 } > 0
 }
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/ObjectStoreStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/ObjectStoreStandIn.kt
@@ -44,10 +44,7 @@
         return this
     }
 
-    override fun close() {
-        faults.outage = true
-        server.close()
-    }
+    override fun close(): Unit = server.close()
 
     /** Writes [value] unconditionally, beside the HTTP interface, faults and limits; returns the new version. */
     public fun put(
@@ -86,7 +83,7 @@
             return refuse(context, 429)
         }
         handler(context)
-        if (call.changesObjects && context.statusCode() < 300 && faults.takeLostResponse()) {
+        if (call.changesObjects && context.statusCode() < 300 && faults.takeLostResponse(context.pathParam("key"))) {
             records.lostResponse()
             exchange.drop()
         }
@@ -140,7 +137,7 @@
         val exchange = Exchange(context, server)
         val changes =
             objects.changes(context.queryParam("prefix").orEmpty(), since, (wait * NANOS_PER_SECOND).toLong()) {
-                faults.outage || exchange.clientGone()
+                faults.outage || !server.isOpen || exchange.clientGone()
             }
         if (exchange.isSilenced) return exchange.hang()
         if (faults.outage) return refuse(context, 503)
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/OrderEndpoint.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/OrderEndpoint.kt
@@ -18,6 +18,7 @@
     private val clock: Clock,
     private val execute: (EngineOrder) -> Unit,
 ) {
+    /** Kept over restarts, because a deployment that honours fencing numbers stores them. */
     private var highest = 0L
 
     fun handle(exchange: Exchange) {
@@ -42,12 +43,6 @@
         exchange.answer(if (accepted) 200 else 409, answer)
     }
 
-    /** A restarted engine has forgotten the fencing numbers that it had seen. */
-    @Synchronized
-    fun clear() {
-        highest = 0
-    }
-
     @Synchronized
     private fun raise(fencing: Long): Long {
         val before = highest
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
@@ -4,11 +4,11 @@
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.standin.connection.Exchange
 import io.buckthornlever.standin.connection.StandInServer
+import io.buckthornlever.standin.connection.WireJson
 import io.buckthornlever.standin.request.PlainExecution
 import io.buckthornlever.standin.version.VersionFault
 import io.javalin.config.RoutesConfig
 import io.javalin.http.Context
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import java.time.Duration
@@ -106,7 +106,7 @@
         routes.get("/v1/load") { context ->
             val exchange = Exchange(context, server)
             if (exchange.isSilenced) return@get exchange.hang()
-            exchange.answer(200, Json.encodeToJsonElement(LoadReport.serializer(), loads.report(faults.loadLagMillis)))
+            exchange.answer(200, WireJson.of(loads.report(faults.loadLagMillis)))
         }
         routes.get("/healthz") { context ->
             val exchange = Exchange(context, server)
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/request/CompletionWriter.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/request/CompletionWriter.kt
@@ -19,8 +19,11 @@
 ) {
     private val request = job.request
 
-    /** Writes until the job ends; false when the client has closed the connection before. */
-    fun write(): Boolean = if (request.stream) stream() else whole()
+    /**
+     * Writes until the job ends or the connection is silent; false when the client has closed the connection before.
+     * The engine does not learn of the end of a silent connection.
+     */
+    fun write(): Boolean = (if (request.stream) stream() else whole()) || exchange.isSilenced
 
     private fun stream(): Boolean {
         exchange.context.res().apply {
@@ -33,7 +36,7 @@
             exchange.context.res().flushBuffer()
             relay(output)
         } catch (_: IOException) {
-            exchange.isSilenced
+            false
         }
     }
 
--- a/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/connection/TestClient.kt
+++ b/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/connection/TestClient.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
+import okhttp3.Call
 import okhttp3.Headers.Companion.toHeaders
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -16,6 +17,11 @@
 ) {
     val http: OkHttpClient = OkHttpClient.Builder().retryOnConnectionFailure(false).readTimeout(readTimeout).build()
 
+    fun newCall(
+        path: String,
+        body: String,
+    ): Call = http.newCall(Request.Builder().url(url() + path).post(body.toRequestBody()).build())
+
     fun open(
         method: String,
         path: String,
--- a/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/CloudStandInTest.kt
+++ b/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/CloudStandInTest.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Timeout
 import java.io.IOException
 import java.time.Duration
 import java.time.Instant
@@ -12,6 +13,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
 
+@Timeout(60)
 class CloudStandInTest {
     private val prices = listOf(CloudPrice("a", "m", "reclaimable", 2.0), CloudPrice("b", "m", "on-demand", 6.0))
     private val cloud = CloudStandIn(CloudConfig(prices), FixedClock).start()
--- a/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/InstanceListStandInTest.kt
+++ b/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/InstanceListStandInTest.kt
@@ -1,6 +1,5 @@
 package io.buckthornlever.standin.process
 
-import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.process.PlatformInstance
@@ -8,18 +7,13 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
-import java.time.Instant
+import org.junit.jupiter.api.Timeout
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
+@Timeout(60)
 class InstanceListStandInTest {
-    private var nanos = 0L
-    private val clock =
-        object : Clock {
-            override fun now(): Instant = Instant.EPOCH
-
-            override fun monotonicNanos(): Long = nanos
-        }
+    private val clock = SettableClock()
 
     @Test
     fun `a change is visible only after the lag`() {
@@ -31,7 +25,7 @@
             list.faults.lagMillis = 100
             list.put(PlatformInstance(InstanceId("i1"), "127.0.0.1", 7000, FailureDomain("a"), "entry", leaving = true))
             assertEquals(emptyList(), states())
-            nanos = 100_000_000
+            clock.millis = 100
             assertEquals(listOf("leaving"), states())
             assertEquals(2, list.records.calls)
         }
--- a/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/ObjectStoreStandInTest.kt
+++ b/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/ObjectStoreStandInTest.kt
@@ -6,12 +6,14 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Timeout
 import java.io.IOException
 import java.util.concurrent.CompletableFuture
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
 
+@Timeout(60)
 class ObjectStoreStandInTest {
     private val store = ObjectStoreStandIn().start()
     private val client = TestClient({ store.url })
--- a/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/PlainServiceStandInTest.kt
+++ b/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/PlainServiceStandInTest.kt
@@ -3,6 +3,7 @@
 import io.buckthornlever.standin.connection.TestClient
 import io.buckthornlever.standin.version.VersionFault
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Timeout
 import java.io.IOException
 import java.time.Duration
 import kotlin.test.Test
@@ -11,6 +12,7 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
+@Timeout(60)
 class PlainServiceStandInTest {
     private val service = PlainServiceStandIn(PlainServiceConfig(coldConcurrency = 0)).start()
     private val client = TestClient({ service.url })
--- a/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/WeightStoreStandInTest.kt
+++ b/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/WeightStoreStandInTest.kt
@@ -1,12 +1,14 @@
 package io.buckthornlever.standin.process
 
 import io.buckthornlever.standin.connection.TestClient
+import org.junit.jupiter.api.Timeout
 import java.io.IOException
 import kotlin.test.Test
 import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
 
+@Timeout(60)
 class WeightStoreStandInTest {
     @Test
     fun `downloads above the rate are refused and broken ones do not count as delivered`() {
