--- a/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/EngineStandInTest.kt
+++ b/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/EngineStandInTest.kt
@@ -89,7 +89,7 @@
     @Test
     fun `a cached prefix is not computed again and an evicted or foreign one counts as recomputed`() {
         val prompt = words("a", 64)
-        listOf(prompt, prompt, words("b", 96), prompt).forEachIndexed { n, it -> calls.complete(it, "r$n", 1) }
+        listOf(prompt, prompt, words("b", 96), prompt).forEachIndexed { n, text -> calls.complete(text, "r$n", 1) }
         assertEquals(listOf(64, 1, 96, 64), engine.records.executions.map { it.prefilledTokens })
         assertEquals(listOf(0, 0, 0, 64), engine.records.executions.map { it.recomputedTokens })
         EngineStandIn(config, computed).start().use { second ->
