--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/UpstreamSelector.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/CandidateSelector.kt
@@ -3,7 +3,7 @@
 import io.buckthornlever.api.process.UpstreamSpec
 
 /** Chooses the upstream for one attempt of a request. */
-public fun interface UpstreamSelector {
+public fun interface CandidateSelector {
     /** The upstream to use, or null when none may take the request. */
     public fun select(query: SelectionQuery): UpstreamSpec?
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/LeastLoadedSelector.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/LeastLoadedSelector.kt
@@ -9,7 +9,7 @@
 /** Chooses the least loaded upstream of the first pool that has one. Looks at every upstream of a pool. */
 public class LeastLoadedSelector(
     private val statuses: UpstreamStatusView,
-) : UpstreamSelector {
+) : CandidateSelector {
     override fun select(query: SelectionQuery): UpstreamSpec? =
         query.route.pools
             .asSequence()
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelRelay.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelRelay.kt
@@ -15,8 +15,8 @@
 import io.buckthornlever.api.request.Executed
 import io.buckthornlever.api.request.RequestError
 import io.buckthornlever.api.request.RequestId
+import io.buckthornlever.core.request.CandidateSelector
 import io.buckthornlever.core.request.SelectionQuery
-import io.buckthornlever.core.request.UpstreamSelector
 import io.buckthornlever.daemon.process.EventLog
 import io.buckthornlever.daemon.process.LogEvent
 import java.io.IOException
@@ -26,7 +26,7 @@
 
 /** Relays a completion; when an upstream fails, another one continues after the tokens already received. */
 internal class ModelRelay(
-    private val selector: UpstreamSelector,
+    private val selector: CandidateSelector,
     private val attempts: AttemptRunner,
     private val clock: Clock,
     private val log: EventLog,
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
@@ -15,8 +15,8 @@
 import io.buckthornlever.api.request.ErrorCode
 import io.buckthornlever.api.request.Executed
 import io.buckthornlever.api.request.RequestError
+import io.buckthornlever.core.request.CandidateSelector
 import io.buckthornlever.core.request.SelectionQuery
-import io.buckthornlever.core.request.UpstreamSelector
 import java.io.IOException
 import java.net.SocketTimeoutException
 import java.time.Duration
@@ -24,7 +24,7 @@
 
 /** Relays calls to plain services; repeats one only when it is idempotent or certainly has not run. */
 internal class PlainRelay(
-    private val selector: UpstreamSelector,
+    private val selector: CandidateSelector,
     private val attempts: AttemptRunner,
     private val clock: Clock,
 ) {
