--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/RouteLookup.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/BasicRouteLookup.kt
@@ -4,7 +4,7 @@
 import io.buckthornlever.api.process.RouteTable
 
 /** Finds the route of a request: the longest matching path prefix wins, then a route that names the model. */
-public object RouteLookup {
+public object BasicRouteLookup {
     /** Routes that may take [method] on [path], whatever the model; most specific first. */
     public fun candidates(
         table: RouteTable,
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/RequestPipeline.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/RequestPipeline.kt
@@ -13,7 +13,7 @@
 import io.buckthornlever.api.request.Executed
 import io.buckthornlever.api.request.RequestError
 import io.buckthornlever.api.request.WorkClass
-import io.buckthornlever.core.request.RouteLookup
+import io.buckthornlever.core.request.BasicRouteLookup
 import io.buckthornlever.daemon.process.ConfigurationHolder
 import io.buckthornlever.daemon.process.DaemonMetrics
 import io.buckthornlever.daemon.process.EventLog
@@ -82,7 +82,7 @@
         val account =
             Authenticator.accountOf(exchange.header("Authorization"), current.accounts)
                 ?: return Err(RequestError(ErrorCode.UNAUTHENTICATED, Executed.NOT_RUN, "the API key is missing or unknown"))
-        val candidates = RouteLookup.candidates(current.routes, exchange.method, exchange.path)
+        val candidates = BasicRouteLookup.candidates(current.routes, exchange.method, exchange.path)
         if (candidates.isEmpty()) return Err(noRoute(current, exchange))
         return exchange.readBody(candidates.maxOf { it.maxBodyBytes }).andThen { bytes ->
             parse(candidates, exchange, bytes).andThen { (route, body) ->
@@ -103,7 +103,7 @@
             return Err(RequestError(ErrorCode.UNSUPPORTED_MEDIA_TYPE, Executed.NOT_RUN, "the content type must be application/json"))
         }
         return ModelBody.parse(bytes, random::nextLong).andThen { body ->
-            val route = RouteLookup.forModel(candidates, body.model)
+            val route = BasicRouteLookup.forModel(candidates, body.model)
             if (route == null) Err(RequestError(ErrorCode.NO_ROUTE, Executed.NOT_RUN, "no route for this model")) else Ok(route to body)
         }
     }
@@ -139,7 +139,7 @@
         exchange: CallerExchange,
     ): RequestError {
         val otherMethod = current.routes.routes.any {
-            RouteLookup.candidates(
+            BasicRouteLookup.candidates(
                 current.routes.copy(routes = listOf(it.copy(match = it.match.copy(methods = emptyList())))),
                 exchange.method,
                 exchange.path,
