--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/InFlightHistory.kt
@@ -0,0 +1,43 @@
+package io.buckthornlever.core.process
+
+/** Number of this instance's requests in flight at one upstream, now and up to four seconds ago. */
+internal class InFlightHistory {
+    private val atSlotEnd = IntArray(SLOTS)
+    private var slot = 0L
+
+    /** Requests in flight now. */
+    var current: Int = 0
+        private set
+
+    fun change(
+        delta: Int,
+        nanos: Long,
+    ) {
+        advance(nanos / SLOT_NANOS)
+        current = maxOf(0, current + delta)
+        atSlotEnd[index(slot)] = current
+    }
+
+    /** Requests in flight at the end of the slot of [nanos]; the oldest known value for times before the history. */
+    fun at(nanos: Long): Int {
+        val wanted = nanos / SLOT_NANOS
+        if (wanted >= slot) return current
+        return atSlotEnd[index(maxOf(wanted, slot - SLOTS + 1))]
+    }
+
+    private fun advance(to: Long) {
+        if (to <= slot) return
+        val from = maxOf(slot + 1, to - SLOTS + 1)
+        for (s in from..to) atSlotEnd[index(s)] = current
+        slot = to
+    }
+
+    private fun index(s: Long): Int = Math.floorMod(s, SLOTS)
+
+    companion object {
+        private const val SLOTS = 32
+
+        /** Resolution; a dispatch in the slot of a report's measurement counts as included in the report. */
+        const val SLOT_NANOS: Long = 125_000_000
+    }
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/UpstreamRuntime.kt
@@ -0,0 +1,171 @@
+package io.buckthornlever.core.process
+
+import io.buckthornlever.api.connection.LoadReport
+import io.buckthornlever.api.process.UpstreamSpec
+import io.buckthornlever.core.request.Mixing
+import io.buckthornlever.core.request.PriceTier
+
+/** What this instance knows about one upstream; survives changes of the configuration. */
+internal class UpstreamRuntime(
+    spec: UpstreamSpec,
+    private val settings: RoutingSettings,
+) {
+    val hash: Long = Mixing.hash(spec.id.value)
+    val limit = AdaptiveLimit(spec.concurrency)
+    private val history = InFlightHistory()
+    private var ramp: ColdStartRamp? = null
+    private var basis = ShareBasis.NONE
+    private var basisGeneration = -1
+    private var othersAtReport = 0
+    private var reportedCapacity = Int.MAX_VALUE
+    private var reportTakenAt = Long.MIN_VALUE
+    private var coldSince = Long.MIN_VALUE
+    private var coldSigns = 0
+    private var leaving = false
+
+    /** Tiers that contain this upstream, one per pool that lists it, with its position in each. */
+    var memberships: List<PriceTier.Membership> = emptyList()
+
+    var spec: UpstreamSpec = spec
+        private set
+
+    var health: UpstreamHealth = UpstreamHealth.HEALTHY
+        private set
+
+    /** This instance's requests in flight. */
+    val inFlight: Int get() = history.current
+
+    /** Requests in flight over all instances: the last report, corrected by what this instance started and ended since. */
+    val load: Int get() = inFlight + othersAtReport
+
+    /** Requests at once that the upstream bears, over all instances. */
+    val capacity: Int get() = ramp?.total ?: minOf(spec.concurrency, reportedCapacity)
+
+    val state: UpstreamState
+        get() =
+            when {
+                leaving -> UpstreamState.LEAVING
+                health == UpstreamHealth.DOWN -> UpstreamState.DOWN
+                health == UpstreamHealth.SUSPECT -> UpstreamState.SUSPECT
+                ramp != null -> UpstreamState.COLD
+                else -> UpstreamState.HEALTHY
+            }
+
+    /** True when selection may use the upstream without it being the last resort. */
+    val usable: Boolean get() = !leaving && health == UpstreamHealth.HEALTHY
+
+    fun reconfigure(changed: UpstreamSpec) {
+        if (changed.concurrency != spec.concurrency) limit.resize(changed.concurrency)
+        spec = changed
+    }
+
+    fun started(nanos: Long) {
+        history.change(1, nanos)
+        publish()
+    }
+
+    /** Returns true when the outcome shows that the upstream has become cold without announcement. */
+    fun finished(
+        outcome: CallOutcome,
+        nanos: Long,
+    ): Boolean {
+        val before = inFlight
+        history.change(-1, nanos)
+        val becameCold = learn(outcome, before, nanos)
+        publish()
+        return becameCold
+    }
+
+    /** Takes a report measured [measuredNanos] on this instance's monotonic clock; older reports than the last are ignored. */
+    fun reported(
+        report: LoadReport,
+        measuredNanos: Long,
+        nanos: Long,
+    ) {
+        if (measuredNanos < reportTakenAt) return
+        reportTakenAt = measuredNanos
+        othersAtReport = maxOf(0, report.running + report.waiting - history.at(measuredNanos))
+        leaving = report.leaving
+        if (report.cold) {
+            enterRamp(nanos)
+            ramp?.reported(report.capacity)
+        } else if (measuredNanos >= coldSince) {
+            ramp = null
+            reportedCapacity = maxOf(0, report.capacity)
+        }
+        publish()
+    }
+
+    fun coldAnnounced(nanos: Long) {
+        enterRamp(nanos)
+        publish()
+    }
+
+    fun leavingAnnounced() {
+        leaving = true
+        publish()
+    }
+
+    fun healthChanged(changed: UpstreamHealth) {
+        health = changed
+        publish()
+    }
+
+    /** Largest number of requests in flight that this instance may have here now. */
+    fun ownLimit(
+        shares: ColdStartShares,
+        nanos: Long,
+    ): Int {
+        val cold = ramp ?: return limit.current
+        cold.advance(nanos)
+        if (cold.finished) {
+            ramp = null
+            return limit.current
+        }
+        val generation = shares.refresh(nanos)
+        if (generation != basisGeneration) {
+            basis = shares.basis(hash)
+            basisGeneration = generation
+        }
+        return basis.share(cold.total)
+    }
+
+    private fun learn(
+        outcome: CallOutcome,
+        inFlightBefore: Int,
+        nanos: Long,
+    ): Boolean {
+        when (outcome) {
+            is CallOutcome.Answered -> {
+                limit.answered(outcome.firstByte.toNanos(), inFlightBefore, nanos)
+                coldSigns = if (limit.slow) coldSigns else 0
+            }
+            CallOutcome.Refused -> {
+                limit.refused(nanos)
+                ramp?.refused(nanos)
+                coldSigns++
+            }
+            CallOutcome.Failed, CallOutcome.Abandoned -> Unit
+        }
+        if (ramp != null || coldSigns < COLD_SIGNS || load > capacity) return false
+        enterRamp(nanos)
+        return true
+    }
+
+    private fun enterRamp(nanos: Long) {
+        if (ramp != null) return
+        ramp = ColdStartRamp(spec.coldConcurrency, spec.concurrency, settings.rampInterval, nanos)
+        reportedCapacity = Int.MAX_VALUE
+        coldSince = nanos
+        coldSigns = 0
+    }
+
+    private fun publish() {
+        for (membership in memberships) membership.update()
+    }
+
+    private companion object {
+        /** Refusals in a row, below the known capacity, that count as having become cold; one may be an error of the estimate. */
+        const val COLD_SIGNS = 3
+    }
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/DecisionTrace.kt
@@ -0,0 +1,49 @@
+package io.buckthornlever.core.request
+
+import io.buckthornlever.core.process.UpstreamRuntime
+
+/** Record of one decision; reused between decisions and copied into the selection. */
+internal class DecisionTrace {
+    private val upstreams = arrayOfNulls<UpstreamRuntime>(MAX_ENTRIES)
+    private val codes = IntArray(MAX_ENTRIES)
+    private var size = 0
+
+    fun clear() {
+        size = 0
+    }
+
+    /** Records [verdict], replacing an earlier one of the same upstream; entries beyond the bound are dropped. */
+    fun record(
+        upstream: UpstreamRuntime,
+        verdict: Verdict,
+    ) {
+        for (i in 0 until size) {
+            if (upstreams[i] === upstream) {
+                codes[i] = verdict.ordinal
+                return
+            }
+        }
+        if (size == MAX_ENTRIES) {
+            if (verdict != Verdict.CHOSEN) return
+            size--
+        }
+        upstreams[size] = upstream
+        codes[size++] = verdict.ordinal
+    }
+
+    fun copy(exclusions: List<PoolExclusion>): Explanation {
+        val ids = Array(size) { upstreams[it]!!.spec.id.value }
+        val figures = IntArray(size * Explanation.FIELDS)
+        for (i in 0 until size) {
+            val upstream = upstreams[i]!!
+            figures[i * Explanation.FIELDS] = codes[i]
+            figures[i * Explanation.FIELDS + 1] = upstream.load
+            figures[i * Explanation.FIELDS + 2] = upstream.capacity
+        }
+        return Explanation(ids, figures, exclusions)
+    }
+
+    private companion object {
+        const val MAX_ENTRIES = 16
+    }
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/DrainRate.kt
@@ -0,0 +1,33 @@
+package io.buckthornlever.core.request
+
+/** Rate at which a lane starts work while requests wait, averaged over a few seconds. */
+internal class DrainRate {
+    private var windowStart = 0L
+    private var windowCost = 0.0
+
+    /** Cost started per nanosecond; null until a window has passed. */
+    var costPerNano: Double? = null
+        private set
+
+    /** Begins a new window after a time without waiting requests, in which the rate says nothing about capacity. */
+    fun resume(nanos: Long) {
+        windowStart = nanos
+        windowCost = 0.0
+    }
+
+    fun started(
+        cost: Double,
+        nanos: Long,
+    ) {
+        windowCost += cost
+        val elapsed = nanos - windowStart
+        if (elapsed < WINDOW_NANOS) return
+        val rate = windowCost / elapsed
+        costPerNano = costPerNano?.let { (it + rate) / 2 } ?: rate
+        resume(nanos)
+    }
+
+    private companion object {
+        const val WINDOW_NANOS = 1_000_000_000L
+    }
+}
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/Mixing.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/Mixing.kt
@@ -1,11 +1,10 @@
 package io.buckthornlever.core.request
 
+import org.apache.commons.codec.digest.MurmurHash3
+
 /** Hashing that is the same on every instance and in every release, so that instances agree without communication. */
 internal object Mixing {
-    private const val FNV_OFFSET = -0x340d631b7bdddcdbL
-    private const val FNV_PRIME = 0x100000001b3L
-
-    /** Finaliser of MurmurHash3 for 64 bits: every input bit affects every output bit. */
+    /** Finaliser of MurmurHash3 for 64 bits; the library's own works on arrays only and would allocate per candidate. */
     fun mix(value: Long): Long {
         var h = value
         h = (h xor (h ushr 33)) * -0xae502812aa7333L
@@ -19,13 +18,19 @@
         second: Long,
     ): Long = mix(mix(first) + 31 * second)
 
-    /** FNV-1a over the UTF-16 units of [text], then mixed. */
+    /** Hash of [text]. */
     fun hash(text: String): Long {
-        var h = FNV_OFFSET
-        for (c in text) h = (h xor c.code.toLong()) * FNV_PRIME
-        return mix(h)
+        val bytes = text.encodeToByteArray()
+        return hash(bytes, 0, bytes.size)
     }
 
+    /** Hash of [length] bytes from [offset]. */
+    fun hash(
+        bytes: ByteArray,
+        offset: Int,
+        length: Int,
+    ): Long = MurmurHash3.hash128x64(bytes, offset, length, 0)[0]
+
     /** Maps a hash to the interval from 0 (included) to 1 (excluded). */
     fun unit(hash: Long): Double = (hash ushr 11) * (1.0 / (1L shl 53))
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/PrefixBlocks.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/PrefixBlocks.kt
@@ -8,27 +8,16 @@
     /** Blocks that are hashed; later text hardly ever is a shared prefix and would cost time on each request. */
     public const val MAX_BLOCKS: Int = 256
 
-    private const val PRIME = 0x100000001b3L
-    private const val SEED = 0x51ed270b3a4cL
+    private const val ROOT = 0x51ed270b3a4cL
 
     /** The chain of hashes of [prompt], at most [MAX_BLOCKS]; the incomplete last block is left out. */
     public fun chain(prompt: ByteArray): LongArray {
-        val count = minOf(prompt.size / BLOCK_BYTES, MAX_BLOCKS)
-        val chain = LongArray(count)
-        var parent = SEED
-        for (block in 0 until count) {
-            parent = Mixing.combine(parent, blockHash(prompt, block * BLOCK_BYTES))
+        val chain = LongArray(minOf(prompt.size / BLOCK_BYTES, MAX_BLOCKS))
+        var parent = ROOT
+        for (block in chain.indices) {
+            parent = Mixing.combine(parent, Mixing.hash(prompt, block * BLOCK_BYTES, BLOCK_BYTES))
             chain[block] = parent
         }
         return chain
     }
-
-    private fun blockHash(
-        bytes: ByteArray,
-        from: Int,
-    ): Long {
-        var h = SEED
-        for (i in from until from + BLOCK_BYTES) h = (h xor bytes[i].toLong()) * PRIME
-        return h
-    }
 }
