Divide cold-start limits among all members seen within the hold time

The first version took the smallest share over the views of the last hold. With one instance joining while another was falsely taken for dead, the generated test found a sum of 12 with a limit of 11: no moment existed at which all views agreed. The division is now made among the union of the views; a share under a larger set is never larger, so each sharer only has to be known to the others at some moment of the hold.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/ColdStartShares.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/ColdStartShares.kt
@@ -7,36 +7,39 @@
  * Divides the limit of a cold upstream among the live entry instances, so that the sum over all instances stays within the
  * limit while their membership views differ.
  *
- * Unit `u` of a limit belongs to the instance with rank `u mod n` in the rendezvous order of the upstream. The share in
- * force is the smallest over all views of the last `growthHold`. If all instances held the same view at some moment within
- * that time, each share is at most the one under that common view, and those sum up to the limit.
+ * Unit `u` of a limit belongs to the instance with rank `u mod n` in the rendezvous order of the upstream. The division is
+ * made among all members that this instance has seen as live within the last `growthHold`: a share shrinks at once when a
+ * member joins and grows that long after one has gone. A share under a larger set of members is never larger. Hence the sum
+ * stays within the limit if each instance that has a share was known to each other one at some moment of that time.
  */
 public class ColdStartShares(
-    private val self: InstanceId,
+    self: InstanceId,
     private val settings: RoutingSettings,
     startNanos: Long,
 ) {
-    private val views = ArrayDeque<View>()
-
     private val selfHash = Mixing.hash(self.value)
+    private val live = HashSet<Long>()
+    private val goneUntil = HashMap<Long, Long>()
+    private var nextExpiry = Long.MAX_VALUE
     private var generation = 0
 
-    init {
-        // An instance that has just started counts as outside, until every other one has learned of it.
-        val delay = settings.startHold.minus(settings.growthHold)
-        views.addLast(View(LongArray(0), false, startNanos + delay.toNanos()))
-    }
+    /** An instance that has just started has no share until every other one has learned of it. */
+    private val waitUntil = startNanos + settings.startHold.toNanos()
+    private var waiting = true
 
     /** Takes the live entry instances, this one included, as this instance sees them from [nanos] on. */
     public fun membersChanged(
-        live: Collection<InstanceId>,
+        members: Collection<InstanceId>,
         nanos: Long,
     ) {
-        views.lastOrNull()?.let { if (it.until == OPEN) it.until = nanos }
-        val hashes = LongArray(live.size)
-        live.forEachIndexed { index, id -> hashes[index] = Mixing.hash(id.value) }
-        views.addLast(View(hashes, self in live, OPEN))
-        if (views.size > MAX_VIEWS) forgetOldest()
+        refresh(nanos)
+        val hashes = members.mapTo(HashSet(members.size * 2)) { Mixing.hash(it.value) }
+        if (hashes == live) return
+        for (gone in live) if (gone !in hashes) goneUntil[gone] = nanos + settings.growthHold.toNanos()
+        live.clear()
+        live.addAll(hashes)
+        goneUntil.keys.removeAll(live)
+        nextExpiry = goneUntil.values.minOrNull() ?: Long.MAX_VALUE
         generation++
     }
 
@@ -50,40 +53,25 @@
         return basis(upstreamHash).share(total)
     }
 
-    /** Drops views that no longer count and returns the generation of the remaining set. */
+    /** Forgets members whose hold is over and returns the generation of the remaining set. */
     internal fun refresh(nanos: Long): Int {
-        val horizon = nanos - settings.growthHold.toNanos()
-        while (views.isNotEmpty() && views.first().until <= horizon) {
-            views.removeFirst()
+        if (nanos >= nextExpiry) {
+            goneUntil.values.removeIf { it <= nanos }
+            nextExpiry = goneUntil.values.minOrNull() ?: Long.MAX_VALUE
+            generation++
+        }
+        if (waiting && nanos >= waitUntil) {
+            waiting = false
             generation++
         }
         return generation
     }
 
-    /** This instance's ranks for one upstream under all views that count; valid until the generation changes. */
+    /** This instance's rank for one upstream; valid until the generation changes. */
     internal fun basis(upstreamHash: Long): ShareBasis {
-        if (views.lastOrNull()?.until != OPEN) return ShareBasis.NONE
+        if (waiting || selfHash !in live) return ShareBasis.NONE
         val own = Mixing.combine(upstreamHash, selfHash)
-        val sizes = IntArray(views.size) { if (views[it].containsSelf) views[it].members.size else 0 }
-        val ranks = IntArray(views.size) { index -> views[index].members.count { Mixing.combine(upstreamHash, it) > own } }
-        return ShareBasis(sizes, ranks)
-    }
-
-    /** Too many views to keep: the oldest ones are replaced by the empty view, under which every share is zero. */
-    private fun forgetOldest() {
-        views.removeFirst()
-        val second = views.removeFirst()
-        views.addFirst(View(LongArray(0), false, second.until))
-    }
-
-    private class View(
-        val members: LongArray,
-        val containsSelf: Boolean,
-        var until: Long,
-    )
-
-    private companion object {
-        const val MAX_VIEWS = 64
-        const val OPEN = Long.MAX_VALUE
+        val above = live.count { Mixing.combine(upstreamHash, it) > own } + goneUntil.keys.count { Mixing.combine(upstreamHash, it) > own }
+        return ShareBasis(live.size + goneUntil.size, above)
     }
 }
