--- /dev/null
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/request/RequestRouterTest.kt
@@ -0,0 +1,194 @@
+package io.buckthornlever.core.request
+
+import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.api.process.Pool
+import io.buckthornlever.api.process.ServiceKind
+import io.buckthornlever.api.request.WorkClass
+import io.buckthornlever.api.version.VersionLabel
+import io.buckthornlever.core.process.CallOutcome
+import io.buckthornlever.core.process.ManualClock
+import io.buckthornlever.core.process.UpstreamHealth
+import java.time.Duration
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class RequestRouterTest {
+    private val clock = ManualClock()
+    private val router = router("e1")
+    private val prefix = longArrayOf(11, 12, 13, 14)
+
+    @Test
+    fun `instances choose the same upstream for a prefix without communication, whatever the order of the table`() {
+        val specs = (1..200).map { Fixtures.spec("u$it", listOf("a", "b", "c")[it % 3]) }
+        val other = router("e2")
+        router.configure(Fixtures.configuration(specs))
+        other.configure(Fixtures.configuration(specs.reversed()))
+        for (key in 1L..50L) {
+            val request = RoutingRequest(Fixtures.route(), longArrayOf(key * 7919))
+            assertEquals(chosen(router, request).upstream.id, chosen(other, request).upstream.id)
+        }
+    }
+
+    @Test
+    fun `a domain taken out, a version and a domain not allowed get nothing and are explained`() {
+        val specs =
+            listOf(
+                Fixtures.spec("out", "a"),
+                Fixtures.spec("foreign", "d"),
+                Fixtures.spec("old", "b", "v0"),
+                Fixtures.spec("good", "b"),
+            )
+        val pool =
+            Pool(
+                Fixtures.POOL,
+                ServiceKind.MODEL,
+                failureDomains = listOf(FailureDomain("a"), FailureDomain("b")),
+                versions = listOf(VersionLabel("v1")),
+            )
+        router.configure(Fixtures.configuration(specs, out = listOf("a"), pool = pool))
+        val selection = chosen(router, request())
+        assertEquals("good", selection.upstream.id.value)
+        assertEquals(
+            setOf(Verdict.DOMAIN_OUT, Verdict.DOMAIN_NOT_ALLOWED, Verdict.VERSION_NOT_ALLOWED),
+            selection.explanation.exclusions
+                .map { it.verdict }
+                .toSet(),
+        )
+    }
+
+    @Test
+    fun `leaving and dead upstreams get nothing, also when a report announces the end`() {
+        configure(3)
+        router.leavingAnnounced(UpstreamId("u1"))
+        router.loadReported(UpstreamId("u2"), Fixtures.report(0, 8, clock.now(), leaving = true))
+        repeat(8) { assertEquals("u3", chosen(router, request(spread = it.toLong())).upstream.id.value) }
+        router.healthChanged(UpstreamId("u3"), UpstreamHealth.DOWN)
+        assertIs<Selection.NoUpstream>(router.select(request()))
+    }
+
+    @Test
+    fun `a suspect upstream is the last resort and never runs work that may run only once`() {
+        configure(2)
+        router.healthChanged(UpstreamId("u1"), UpstreamHealth.SUSPECT)
+        repeat(8) { assertEquals("u2", chosen(router, request(spread = it.toLong())).upstream.id.value) }
+        assertEquals("u1", chosen(router, request()).upstream.id.value)
+        assertIs<Selection.AtCapacity>(router.select(request(WorkClass.NON_REPEATABLE)))
+    }
+
+    @Test
+    fun `the load estimate replaces own dispatches that a lagging report already contains`() {
+        configure(1)
+        repeat(4) { chosen(router, request()) }
+        clock.advance(Duration.ofSeconds(1))
+        val measured = clock.now()
+        clock.advance(Duration.ofSeconds(1))
+        repeat(2) { chosen(router, request()) }
+        router.loadReported(UpstreamId("u1"), Fixtures.report(5, 8, measured))
+        assertEquals(listOf(7), loads())
+        router.loadReported(UpstreamId("u1"), Fixtures.report(0, 8, measured.minusSeconds(1)))
+        assertEquals(listOf(7), loads(), "an older report must not replace a newer one")
+    }
+
+    @Test
+    fun `a full upstream is not used, and long work leaves room for interactive work`() {
+        router.configure(Fixtures.configuration(listOf(Fixtures.spec("u1", concurrency = 10))))
+        val long = generateSequence { router.select(request(WorkClass.LONG)) }.takeWhile { it is Selection.Chosen }.count()
+        val interactive = generateSequence { router.select(request()) }.takeWhile { it is Selection.Chosen }.count()
+        assertEquals(9, long)
+        assertEquals(1, interactive)
+        assertEquals(listOf(Verdict.CONCURRENCY_LIMIT), router.explain(request()).explanation.candidates.map { it.verdict })
+    }
+
+    @Test
+    fun `the cheaper tier is filled to the target before the dearer one is used`() {
+        router.configure(Fixtures.configuration(listOf(Fixtures.spec("dear", price = 3.0), Fixtures.spec("cheap", price = 1.0))))
+        val order = (1..10).map { chosen(router, request(spread = it.toLong())).upstream.id.value }
+        assertEquals(List(5) { "cheap" } + List(5) { "dear" }, order)
+    }
+
+    @Test
+    fun `a cold upstream takes this instance's share only, also when it became cold without announcement`() {
+        configure(1, concurrency = 8)
+        router.membersChanged(listOf(InstanceId("e1")))
+        clock.advance(Duration.ofSeconds(11))
+        repeat(4) { chosen(router, request()) }
+        repeat(3) { router.finished(UpstreamId("u1"), CallOutcome.Refused) }
+        assertEquals(RoutingEvent.BecameCold(UpstreamId("u1")), router.nextEvent())
+        chosen(router, request())
+        assertIs<Selection.AtCapacity>(router.select(request()))
+        assertEquals(listOf(Verdict.COLD_LIMIT), router.explain(request()).explanation.candidates.map { it.verdict })
+    }
+
+    @Test
+    fun `a report measured before the upstream became cold does not end the ramp`() {
+        configure(1, concurrency = 8)
+        router.membersChanged(listOf(InstanceId("e1"), InstanceId("e2")))
+        clock.advance(Duration.ofSeconds(20))
+        router.coldAnnounced(UpstreamId("u1"))
+        router.loadReported(UpstreamId("u1"), Fixtures.report(0, 8, clock.now().minusSeconds(1)))
+        chosen(router, request())
+        assertIs<Selection.AtCapacity>(router.select(request()))
+    }
+
+    @Test
+    fun `a version with a small weight does not stand in for the other one, a heavier one does`() {
+        val specs = listOf(Fixtures.spec("old", version = "v1"), Fixtures.spec("new", version = "v2"))
+        router.configure(Fixtures.configuration(specs))
+        router.versionWeights(Fixtures.POOL, mapOf(VersionLabel("v1") to 95.0, VersionLabel("v2") to 5.0))
+        router.healthChanged(UpstreamId("new"), UpstreamHealth.DOWN)
+        repeat(5) { assertEquals("old", chosen(router, request(spread = it.toLong())).upstream.id.value) }
+        router.healthChanged(UpstreamId("new"), UpstreamHealth.HEALTHY)
+        router.healthChanged(UpstreamId("old"), UpstreamHealth.DOWN)
+        val toNew = (1..100).count { router.select(request(spread = it.toLong())) is Selection.Chosen }
+        assertTrue(toNew <= 6, "$toNew of 100 requests went to the version with weight 5")
+        router.versionWeights(Fixtures.POOL, mapOf(VersionLabel("v1") to 1.0))
+        assertIs<Selection.NoUpstream>(router.select(request()))
+    }
+
+    @Test
+    fun `cache events correct the order as long as the holder is below the target`() {
+        configure(4)
+        val request = RoutingRequest(Fixtures.route(), prefix)
+        val hashed = (router.explain(request) as Selection.Chosen).upstream.id
+        val other = UpstreamId(if (hashed.value == "u1") "u2" else "u1")
+        router.blockStored(other, prefix.last())
+        assertEquals(other, (router.explain(request) as Selection.Chosen).upstream.id)
+        router.blockEvicted(other, prefix.last())
+        assertEquals(hashed, (router.explain(request) as Selection.Chosen).upstream.id)
+    }
+
+    @Test
+    fun `a retry avoids upstreams that were tried, and requests in flight survive a new table`() {
+        configure(2)
+        val first = chosen(router, request()).upstream.id
+        val second = chosen(router, RoutingRequest(Fixtures.route(), tried = listOf(first))).upstream.id
+        assertTrue(first != second)
+        router.configure(Fixtures.configuration(listOf(Fixtures.spec("u1"), Fixtures.spec("u2")), revision = 2))
+        assertEquals(listOf(1, 1), loads())
+        router.finished(first, CallOutcome.Abandoned)
+        assertEquals(setOf(0, 1), loads().toSet())
+    }
+
+    private fun loads(): List<Int> = router.explain(request()).explanation.candidates.map { it.load }
+
+    private fun configure(
+        count: Int,
+        concurrency: Int = 8,
+    ) = router.configure(Fixtures.configuration((1..count).map { Fixtures.spec("u$it", concurrency = concurrency) }))
+
+    private fun router(id: String) = RequestRouter(InstanceId(id), clock)
+
+    private fun request(
+        work: WorkClass = WorkClass.INTERACTIVE,
+        spread: Long = 0,
+    ) = RoutingRequest(Fixtures.route(work), spread = spread)
+
+    private fun chosen(
+        from: RequestRouter,
+        request: RoutingRequest,
+    ): Selection.Chosen = assertIs<Selection.Chosen>(from.select(request))
+}
