--- /dev/null
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/request/CacheDirectoryTest.kt
@@ -0,0 +1,33 @@
+package io.buckthornlever.core.request
+
+import io.buckthornlever.core.process.RoutingSettings
+import io.buckthornlever.core.process.UpstreamRuntime
+import kotlin.test.Test
+import kotlin.test.assertNull
+import kotlin.test.assertSame
+
+class CacheDirectoryTest {
+    private val first = UpstreamRuntime(Fixtures.spec("u1"), RoutingSettings())
+    private val second = UpstreamRuntime(Fixtures.spec("u2"), RoutingSettings())
+    private val directory = CacheDirectory()
+
+    @Test
+    fun `a spill does not replace the holder, an eviction by the holder does`() {
+        directory.stored(5, first)
+        directory.stored(5, second)
+        assertSame(first, directory.holder(5))
+        directory.evicted(5, second)
+        assertSame(first, directory.holder(5))
+        directory.evicted(5, first)
+        assertNull(directory.holder(5))
+        directory.stored(5, second)
+        assertSame(second, directory.holder(5))
+    }
+
+    @Test
+    fun `an upstream that lost its cache holds nothing`() {
+        directory.stored(5, first)
+        directory.forget(first)
+        assertNull(directory.holder(5))
+    }
+}
