--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/ShareBasis.kt
@@ -0,0 +1,22 @@
+package io.buckthornlever.core.process
+
+/**
+ * Rank of an instance in the rendezvous order of one upstream.
+ *
+ * @property members number of instances among which limits are divided; 0 when this instance has no part
+ */
+internal class ShareBasis(
+    private val members: Int,
+    private val rank: Int,
+) {
+    /** Units of a limit of [total] that belong to this instance. */
+    fun share(total: Int): Int {
+        if (members == 0) return 0
+        return total / members + (if (rank < total % members) 1 else 0)
+    }
+
+    companion object {
+        /** Basis of an instance that has no part in any limit. */
+        val NONE: ShareBasis = ShareBasis(0, 0)
+    }
+}
