--- /dev/null
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/request/OnceWorld.kt
@@ -0,0 +1,178 @@
+package io.buckthornlever.core.request
+
+import io.buckthornlever.api.process.AccountId
+import io.buckthornlever.api.process.ObjectVersion
+import io.buckthornlever.api.process.StoreError
+import io.buckthornlever.api.request.ErrorCode
+import io.buckthornlever.api.request.Executed
+
+/**
+ * Submissions of one key by several entry instances over a fake store. Immutable, so that every interleaving can be
+ * enumerated: [choices] lists what can happen next and [apply] returns the world after it.
+ */
+internal data class OnceWorld(
+    val submissions: List<Submission> = emptyList(),
+    val record: OnceRecord? = null,
+    val version: Long = 0,
+    val delayed: List<OnceCommand> = emptyList(),
+    val nowMillis: Long = 0,
+    val faults: Int = 0,
+    val executions: List<String> = emptyList(),
+) {
+    data class Submission(
+        val call: OnceCall,
+        val pending: OnceCommand?,
+        val dispatches: Int = 0,
+        val reply: OnceCommand? = null,
+        val alive: Boolean = true,
+    )
+
+    sealed interface Choice {
+        data class Submit(val body: String) : Choice
+
+        data class Act(val index: Int, val how: How) : Choice
+
+        data class Die(val index: Int) : Choice
+
+        data class Land(val index: Int) : Choice
+
+        data object Pass : Choice
+    }
+
+    /** How a store operation or a dispatch ends. */
+    enum class How { OK, UNAVAILABLE, LOST_AFTER_EFFECT, LOST_BEFORE_EFFECT, LOST_AND_DELAYED, RAN_AND_LOST, NOT_SENT }
+
+    fun choices(
+        maxSubmissions: Int,
+        maxFaults: Int,
+    ): List<Choice> =
+        buildList {
+            if (submissions.size < maxSubmissions) listOf("a", "b").forEach { add(Choice.Submit(it)) }
+            submissions.forEachIndexed { index, submission ->
+                if (submission.alive &&
+                    submission.pending != null
+                ) {
+                    ways(submission.pending, maxFaults).forEach { how -> add(Choice.Act(index, how)) }
+                }
+                if (submission.alive && faults < maxFaults) add(Choice.Die(index))
+            }
+            delayed.indices.forEach { add(Choice.Land(it)) }
+            if (faults < maxFaults) add(Choice.Pass)
+        }
+
+    private fun ways(
+        command: OnceCommand,
+        maxFaults: Int,
+    ): List<How> =
+        when {
+            faults >= maxFaults || command is OnceCommand.WakeAfter -> listOf(How.OK)
+            command is OnceCommand.Dispatch -> listOf(How.OK, How.LOST_BEFORE_EFFECT, How.RAN_AND_LOST, How.NOT_SENT)
+            command is OnceCommand.Read -> listOf(How.OK, How.UNAVAILABLE)
+            else -> listOf(How.OK, How.UNAVAILABLE, How.LOST_AFTER_EFFECT, How.LOST_BEFORE_EFFECT, How.LOST_AND_DELAYED)
+        }
+
+    fun apply(choice: Choice): OnceWorld =
+        when (choice) {
+            is Choice.Submit -> submit(choice.body)
+            is Choice.Act -> act(choice.index, choice.how)
+            is Choice.Die -> replace(choice.index, submissions[choice.index].copy(alive = false)).copy(faults = faults + 1)
+            is Choice.Land -> effect(delayed[choice.index]).first.copy(delayed = delayed.filterIndexed { i, _ -> i != choice.index })
+            is Choice.Pass -> copy(nowMillis = nowMillis + OnceMachine.MAX_HOLD_MILLIS + 1, faults = faults + 1)
+        }
+
+    private fun submit(body: String): OnceWorld {
+        val call = OnceCall(OnceKey.of(AccountId("acme"), "k"), "t${submissions.size}", body, nowMillis)
+        val added = copy(submissions = submissions + Submission(call, null))
+        return added.feed(submissions.size, OnceEvent.Begin)
+    }
+
+    private fun act(
+        index: Int,
+        how: How,
+    ): OnceWorld {
+        val command = submissions[index].pending!!
+        val counted = if (how == How.OK) this else copy(faults = faults + 1)
+        return when (how) {
+            How.OK -> effect(command, index).let { (world, event) -> world.feed(index, event) }
+            How.UNAVAILABLE -> counted.feed(index, OnceEvent.StoreFailed(StoreError.Unavailable("outage")))
+            How.LOST_AFTER_EFFECT -> counted.effect(command).first.feed(index, lost)
+            How.LOST_BEFORE_EFFECT -> counted.feed(index, if (command is OnceCommand.Dispatch) OnceEvent.Lost("reset") else lost)
+            How.LOST_AND_DELAYED -> counted.copy(delayed = delayed + command).feed(index, lost)
+            How.RAN_AND_LOST -> counted.effect(command, index).first.feed(index, OnceEvent.Lost("reset"))
+            How.NOT_SENT -> counted.unsent(index).feed(index, OnceEvent.NotSent)
+        }
+    }
+
+    private fun unsent(index: Int): OnceWorld = replace(index, submissions[index].copy(dispatches = submissions[index].dispatches - 1))
+
+    private fun effect(
+        command: OnceCommand,
+        index: Int = -1,
+    ): Pair<OnceWorld, OnceEvent> =
+        when (command) {
+            is OnceCommand.Create -> if (record == null) write(command.record) else this to conflict
+            is OnceCommand.Replace -> if (matches(command.expected)) write(command.record) else this to missingOrConflict()
+            is OnceCommand.Delete -> if (matches(command.expected)) {
+                copy(record = null) to OnceEvent.Deleted
+            } else {
+                this to
+                    missingOrConflict()
+            }
+            is OnceCommand.Read -> this to (record?.let { OnceEvent.Read(it, ObjectVersion(version)) } ?: missing)
+            is OnceCommand.Dispatch -> copy(executions = executions + submissions[index].call.token) to OnceEvent.Answered(OUTCOME)
+            else -> this to OnceEvent.Woken
+        }
+
+    private fun matches(expected: ObjectVersion) = record != null && expected.value == version
+
+    private fun write(value: OnceRecord) = copy(record = value, version = version + 1) to OnceEvent.Written(ObjectVersion(version + 1))
+
+    private fun missingOrConflict() = if (record == null) missing else conflict
+
+    private fun feed(
+        index: Int,
+        event: OnceEvent,
+    ): OnceWorld {
+        val before = submissions[index]
+        val (call, commands) = OnceMachine.step(before.call, event, nowMillis)
+        val reply = commands.firstOrNull { it is OnceCommand.Reply || it is OnceCommand.Refuse }
+        check(reply == null || before.reply == null) { "second reply" }
+        val next = commands.filterNot { it === reply }
+        check(next.size <= 1) { "two operations at once" }
+        val sent = before.dispatches + next.count { it is OnceCommand.Dispatch }
+        return replace(index, Submission(call, next.firstOrNull(), sent, before.reply ?: reply))
+    }
+
+    private fun replace(
+        index: Int,
+        submission: Submission,
+    ): OnceWorld = copy(submissions = submissions.mapIndexed { i, old -> if (i == index) submission else old })
+
+    /** Everything that is wrong with this world. */
+    fun violations(): List<String> =
+        buildList {
+            if (executions.size > 1) add("executed ${executions.size} times")
+            submissions.forEach { addAll(violations(it)) }
+        }
+
+    private fun violations(submission: Submission): List<String> {
+        val refusal = (submission.reply as? OnceCommand.Refuse)?.error
+        val reply = submission.reply as? OnceCommand.Reply
+        val bodyRan = submissions.any { it.call.token in executions && it.call.bodySha256 == submission.call.bodySha256 }
+        return listOfNotNull(
+            "sent twice".takeIf { submission.dispatches > 1 },
+            "false not-run".takeIf { refusal?.executed == Executed.NOT_RUN && submission.dispatches > 0 },
+            "answer without execution of this body".takeIf { reply != null && !bodyRan },
+            "conflict without another body".takeIf { refusal?.code == ErrorCode.KEY_CONFLICT && sameBodyOnly() },
+        )
+    }
+
+    private fun sameBodyOnly() = submissions.map { it.call.bodySha256 }.distinct().size == 1
+
+    companion object {
+        val OUTCOME = OnceOutcome(200, null, "b2s=")
+        private val lost = OnceEvent.StoreFailed(StoreError.AnswerLost("timeout"))
+        private val conflict = OnceEvent.StoreFailed(StoreError.Conflict(null))
+        private val missing = OnceEvent.StoreFailed(StoreError.NotFound)
+    }
+}
