--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/StreamPosition.kt
@@ -0,0 +1,20 @@
+package io.buckthornlever.core.request
+
+import io.buckthornlever.api.request.RequestId
+
+/** Position in a stream as carried by `Last-Event-ID` and by the `id` field of each event. */
+public data class StreamPosition(
+    val request: RequestId,
+    val tokenIndex: Int,
+) {
+    override fun toString(): String = "${request.value}:$tokenIndex"
+
+    public companion object {
+        /** Reads `<requestId>:<tokenIndex>`; null when [text] has another form. */
+        public fun parse(text: String): StreamPosition? {
+            val split = text.lastIndexOf(':')
+            val index = text.substring(split + 1).toIntOrNull() ?: return null
+            return if (split <= 0 || index < 0) null else StreamPosition(RequestId(text.substring(0, split)), index)
+        }
+    }
+}
