--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/JobCommand.kt
@@ -0,0 +1,48 @@
+package io.buckthornlever.core.request
+
+import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.api.process.ObjectVersion
+import io.buckthornlever.api.request.RequestError
+
+/** Effects that [JobMachine] asks for; at most one store operation or wait is outstanding. */
+public sealed interface JobCommand {
+    /** Create the record. */
+    public data class Create(
+        val record: JobRecord,
+    ) : JobCommand
+
+    /** Replace the record if its version is [expected]. */
+    public data class Replace(
+        val record: JobRecord,
+        val expected: ObjectVersion,
+    ) : JobCommand
+
+    /** Read the record. */
+    public data object Read : JobCommand
+
+    /** Send [JobEvent.Woken] after [millis]. */
+    public data class WakeAfter(
+        val millis: Long,
+    ) : JobCommand
+
+    /** The job is accepted and durable; produce its result. */
+    public data class Run(
+        val record: JobRecord,
+    ) : JobCommand
+
+    /** The job was not accepted. */
+    public data class Refuse(
+        val error: RequestError,
+    ) : JobCommand
+
+    /** Stop producing the result: another instance owns the job or it has ended. */
+    public data object Abandon : JobCommand
+
+    /** The store contains the result. */
+    public data object Stored : JobCommand
+
+    /** The store names [next] as the owner. */
+    public data class HandedOver(
+        val next: InstanceId,
+    ) : JobCommand
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/JobState.kt
@@ -0,0 +1,24 @@
+package io.buckthornlever.core.request
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** State of an accepted job. */
+@Serializable
+public enum class JobState {
+    /** An instance owns the job and produces its result. */
+    @SerialName("running")
+    RUNNING,
+
+    /** A stream recorded so that its caller can reconnect; the caller's connection drives it and nobody takes it over. */
+    @SerialName("stream")
+    STREAM,
+
+    /** The result is in the record. */
+    @SerialName("done")
+    DONE,
+
+    /** The job ended without a result. */
+    @SerialName("failed")
+    FAILED,
+}
