Add the membership state machine and the gossip of facts

Entry instances need one view of who is alive. SWIM with suspicion needs about four datagrams per member and second where all-to-all heartbeats need one per member pair. Facts merge by a join, so that copies may arrive in any order.

--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/gossip/RetransmitQueue.kt
@@ -0,0 +1,64 @@
+package io.buckthornlever.core.process.gossip
+
+import java.util.ArrayDeque
+
+/**
+ * News to be sent a bounded number of times, least often sent first. A newer value replaces an older one of the same key.
+ *
+ * @param sizeOf upper estimate of the encoded size of a value, in bytes
+ */
+public class RetransmitQueue<K : Any, V : Any>(
+    private val sizeOf: (V) -> Int,
+) {
+    private class Entry<K, V>(
+        val key: K,
+        val value: V,
+        var sent: Int,
+    )
+
+    private val byKey = HashMap<K, Entry<K, V>>()
+    private val bySent = ArrayList<ArrayDeque<Entry<K, V>>>()
+
+    /** Number of values still to be sent. */
+    public val size: Int get() = byKey.size
+
+    /** Adds [value], replacing an older one of the same [key]. */
+    public fun put(key: K, value: V) {
+        val entry = Entry(key, value, 0)
+        byKey[key] = entry
+        bucket(0).addLast(entry)
+    }
+
+    /** Takes values up to [bytes] and drops those that have now been sent [limit] times. */
+    public fun take(bytes: Int, limit: Int): List<V> {
+        if (byKey.isEmpty()) return emptyList()
+        val taken = ArrayList<Entry<K, V>>()
+        var left = bytes
+        for (bucket in bySent) {
+            while (bucket.isNotEmpty()) {
+                val entry = bucket.peekFirst()
+                if (byKey[entry.key] === entry) {
+                    val size = sizeOf(entry.value)
+                    if (size > left) return finish(taken, limit)
+                    left -= size
+                    taken.add(entry)
+                }
+                bucket.pollFirst()
+            }
+        }
+        return finish(taken, limit)
+    }
+
+    private fun finish(taken: List<Entry<K, V>>, limit: Int): List<V> {
+        taken.forEach {
+            it.sent++
+            if (it.sent >= limit) byKey.remove(it.key) else bucket(it.sent).addLast(it)
+        }
+        return taken.map { it.value }
+    }
+
+    private fun bucket(sent: Int): ArrayDeque<Entry<K, V>> {
+        while (bySent.size <= sent) bySent.add(ArrayDeque())
+        return bySent[sent]
+    }
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/Member.kt
@@ -0,0 +1,18 @@
+package io.buckthornlever.core.process.membership
+
+/** What this instance knows about one member. Times are monotonic nanoseconds. */
+internal class Member(
+    var address: MemberAddress,
+    var incarnation: Long,
+    var state: MemberState,
+    var stateSince: Long,
+) {
+    /** Time of the last message from the member itself; null before the first one. */
+    var lastHeard: Long? = null
+    var suspicionDeadline = 0L
+    var revisions = TableRevisions()
+    var evidence: ConnectionEvidence? = null
+    var silentConnectionSince: Long? = null
+
+    fun update(): MemberUpdate = MemberUpdate(address, incarnation, state)
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/MemberAssessor.kt
@@ -0,0 +1,39 @@
+package io.buckthornlever.core.process.membership
+
+/**
+ * Tells a silent connection, a paused process, a partition and a death apart. Silence alone does not distinguish them; the result of
+ * a new connection and the state of the member's neighbours do in part.
+ */
+internal object MemberAssessor {
+    private const val SMALLEST_GROUP = 2
+
+    fun assess(member: Member, table: MemberTable): MemberAssessment =
+        when (member.state) {
+            MemberState.LEFT -> MemberAssessment.LEFT
+            MemberState.ALIVE -> if (isConnectionSilent(member)) MemberAssessment.CONNECTION_SILENT else MemberAssessment.REACHABLE
+            MemberState.SUSPECT, MemberState.DEAD -> unreachable(member, table)
+        }
+
+    private fun isConnectionSilent(member: Member): Boolean {
+        val since = member.silentConnectionSince ?: return false
+        val heard = member.lastHeard ?: return false
+        return heard >= since
+    }
+
+    private fun unreachable(member: Member, table: MemberTable): MemberAssessment =
+        when (member.evidence) {
+            ConnectionEvidence.ACCEPTED_BUT_SILENT -> MemberAssessment.PAUSED
+            ConnectionEvidence.REFUSED -> MemberAssessment.DEAD
+            ConnectionEvidence.ANSWERED -> MemberAssessment.REACHABLE
+            ConnectionEvidence.TIMED_OUT, null -> if (neighboursGone(member, table)) MemberAssessment.PARTITIONED else MemberAssessment.DEAD
+        }
+
+    private fun neighboursGone(member: Member, table: MemberTable): Boolean {
+        val others = table.all().filter { it !== member && it.state != MemberState.LEFT }
+        val domain = others.filter { it.address.failureDomain == member.address.failureDomain }
+        return mostGone(domain) || mostGone(others)
+    }
+
+    private fun mostGone(group: List<Member>): Boolean =
+        group.size >= SMALLEST_GROUP && group.count { it.state != MemberState.ALIVE } * 2 > group.size
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/MembershipSettings.kt
@@ -0,0 +1,42 @@
+package io.buckthornlever.core.process.membership
+
+import java.time.Duration
+
+/**
+ * Periods and limits of membership.
+ *
+ * @property tick interval at which the owner sends [MembershipEvent.Tick]
+ * @property probePeriod interval between probes of one member each
+ * @property directTimeout silence after which a probe is repeated through other members
+ * @property indirectProbes members asked to repeat a failed probe
+ * @property suspicionTimeout time in which a suspect may refute
+ * @property refusedTimeout suspicion timeout once the member's host refuses connections, which shows that the process is gone
+ * @property gossipInterval interval between rounds of gossip while there is news
+ * @property gossipFanout members that get the news in each round
+ * @property leaveFanout members that a leaving instance tells directly
+ * @property retransmitFactor transmissions of each update per binary digit of the member count
+ * @property pauseThreshold clock jump between two ticks that counts as a pause of this process
+ * @property deadProbePeriod interval between probes of one dead member each
+ * @property healProbePeriod the same while dead members are coming back
+ * @property healWindow how long [healProbePeriod] applies after a dead member came back
+ * @property deadRetention how long dead members are remembered
+ * @property gossipBytes payload of a gossip datagram, in bytes
+ */
+public data class MembershipSettings(
+    val tick: Duration = Duration.ofMillis(100),
+    val probePeriod: Duration = Duration.ofSeconds(1),
+    val directTimeout: Duration = Duration.ofMillis(400),
+    val indirectProbes: Int = 3,
+    val suspicionTimeout: Duration = Duration.ofSeconds(3),
+    val refusedTimeout: Duration = Duration.ofSeconds(1),
+    val gossipInterval: Duration = Duration.ofMillis(200),
+    val gossipFanout: Int = 3,
+    val leaveFanout: Int = 8,
+    val retransmitFactor: Int = 2,
+    val pauseThreshold: Duration = Duration.ofMillis(1500),
+    val deadProbePeriod: Duration = Duration.ofSeconds(10),
+    val healProbePeriod: Duration = Duration.ofMillis(500),
+    val healWindow: Duration = Duration.ofSeconds(30),
+    val deadRetention: Duration = Duration.ofHours(3),
+    val gossipBytes: Int = 850,
+)
