--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/MemberAssessor.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/MemberAssessor.kt
@@ -29,7 +29,7 @@
         }
 
     private fun neighboursGone(member: Member, table: MemberTable): Boolean {
-        val others = table.all().filter { it !== member && it.state != MemberState.LEFT }
+        val others = table.all().filter { it.state != MemberState.LEFT }
         val domain = others.filter { it.address.failureDomain == member.address.failureDomain }
         return mostGone(domain) || mostGone(others)
     }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/Membership.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/Membership.kt
@@ -2,9 +2,7 @@
 
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.core.process.gossip.Fact
-import io.buckthornlever.core.process.gossip.FactKey
 import io.buckthornlever.core.process.gossip.FactStore
-import io.buckthornlever.core.process.gossip.RetransmitQueue
 import io.buckthornlever.core.process.membership.MembershipCommand.FactChanged
 import io.buckthornlever.core.process.membership.MembershipCommand.MemberChanged
 import io.buckthornlever.core.process.membership.MembershipCommand.PullMembers
@@ -29,8 +27,7 @@
 ) {
     private val table = MemberTable(self.id)
     private val facts = FactStore()
-    private val updateQueue = RetransmitQueue<InstanceId, MemberUpdate> { it.estimatedBytes() }
-    private val factQueue = RetransmitQueue<FactKey, Fact> { it.estimatedBytes() }
+    private val queue = NewsQueue(settings)
     private val probes = LinkedHashMap<Long, Probe>()
     private val seeds = LinkedHashMap<InstanceId, MemberAddress>()
     private val suspects = LinkedHashSet<InstanceId>()
@@ -38,8 +35,8 @@
     private var incarnation = initialIncarnation
     private var state = MemberState.ALIVE
     private var revisions = TableRevisions()
-    private var revisionSends = 0
     private var lastTick: Moment? = null
+    private var lastHeard: Long? = null
     private var nextProbe = Long.MIN_VALUE
     private var nextGossip = Long.MIN_VALUE
     private var nextDeadProbe = Long.MIN_VALUE
@@ -49,6 +46,7 @@
     private var probeNumber = 0L
     private var membersPulled = false
     private var pullAgainAt: Long? = null
+    private var nextSync: Long? = null
     private var counters = MembershipCounters()
 
     /** Own claim, with the present incarnation. */
@@ -95,7 +93,7 @@
             MembershipEvent.Tick -> tick(now)
             is MembershipEvent.SeedsListed -> seedsListed(event.seeds)
             is MembershipEvent.Received -> received(event.from, event.message, now)
-            is MembershipEvent.MembersReceived -> membersReceived(event.updates, now)
+            is MembershipEvent.MembersReceived -> membersReceived(event, now)
             is MembershipEvent.ConnectionSilent -> connectionSilent(event.peer, now)
             is MembershipEvent.ConnectionTested -> connectionTested(event.peer, event.evidence, now)
             is MembershipEvent.Publish -> mergeFact(event.fact, now)
@@ -164,6 +162,7 @@
     }
 
     private fun heard(member: Member, sender: MemberUpdate, news: News, now: Moment) {
+        lastHeard = now.nanos
         member.lastHeard = now.nanos
         if (sender.incarnation == member.incarnation) member.evidence = null
         if (member.revisions.isBehind(news.revisions)) member.revisions = member.revisions.merge(news.revisions)
@@ -177,21 +176,28 @@
         out.add(PullMembers(from))
     }
 
-    private fun membersReceived(updates: List<MemberUpdate>, now: Moment) {
+    /** The others know these claims already, so they are not sent on. */
+    private fun membersReceived(event: MembershipEvent.MembersReceived, now: Moment) {
         membersPulled = true
-        updates.forEach { merge(it, now) }
+        event.updates.forEach { merge(it, now, spread = false) }
+        event.facts.forEach { fact -> facts.merge(fact, now)?.let { out.add(FactChanged(it)) } }
     }
 
-    private fun merge(update: MemberUpdate, now: Moment) {
+    private fun merge(update: MemberUpdate, now: Moment, spread: Boolean = true) {
         if (update.address.id == self.id) return refuteIfAccused(update)
         val member = table[update.address.id]
         if (member == null) {
             val added = Member(update.address, update.incarnation, update.state, now.nanos)
             table.add(added)
             startSuspicion(added, now)
-            spread(added, null)
-            return
+            return announce(added, null, spread)
         }
+        // Another side's death claim must not remove a member that this side reaches; it starts the suspicion here instead.
+        val deathClaim = update.state == MemberState.DEAD && member.state.isLive
+        apply(if (deathClaim) update.copy(state = MemberState.SUSPECT) else update, member, now, spread)
+    }
+
+    private fun apply(update: MemberUpdate, member: Member, now: Moment, spread: Boolean) {
         if (!update.overrides(member.incarnation, member.state)) return
         val previous = member.state
         member.address = update.address
@@ -199,7 +205,7 @@
         table.changeState(member, update.state, now.nanos)
         if (!previous.isLive && update.state.isLive) revived(now)
         startSuspicion(member, now)
-        spread(member, previous)
+        announce(member, previous, spread)
     }
 
     private fun revived(now: Moment) {
@@ -218,9 +224,9 @@
         member.suspicionDeadline = now.nanos + settings.suspicionTimeout.toNanos()
     }
 
-    private fun spread(member: Member, previous: MemberState?) {
+    private fun announce(member: Member, previous: MemberState?, spread: Boolean) {
         val update = member.update()
-        updateQueue.put(member.address.id, update)
+        if (spread) queue.put(update)
         out.add(MemberChanged(update, previous))
     }
 
@@ -234,17 +240,17 @@
 
     private fun refuteAbove(claimed: Long) {
         incarnation = maxOf(incarnation, claimed) + 1
-        updateQueue.put(self.id, own)
+        queue.put(own)
     }
 
     private fun revisionsChanged(changed: TableRevisions) {
         revisions = changed
-        revisionSends = sendLimit()
+        queue.repeatRevisions(liveCount)
     }
 
     private fun mergeFact(fact: Fact, now: Moment) {
         val joined = facts.merge(fact, now) ?: return
-        factQueue.put(joined.key, joined)
+        queue.put(joined)
         out.add(FactChanged(joined))
     }
 
@@ -255,7 +261,7 @@
             ping(live[ProbeRing.target(period, table.ownPosition, live.size)].address, now, judged = true)
         }
         val unknown = seeds.values.filter { table[it.id] == null }
-        if (unknown.isNotEmpty()) ping(unknown[random.nextInt(unknown.size)], now, judged = false)
+        unknown.shuffled(random).take(settings.seedFanout).forEach { ping(it, now, judged = false) }
     }
 
     private fun ping(to: MemberAddress, now: Moment, judged: Boolean, relayFor: Probe.Relay? = null) {
@@ -306,7 +312,7 @@
         val member = table[id] ?: return
         if (member.state != MemberState.ALIVE) return
         counters = counters.copy(suspicions = counters.suspicions + 1)
-        merge(member.update().copy(state = MemberState.SUSPECT), now)
+        merge(member.update().copy(state = MemberState.SUSPECT), now, spread = !isIsolated(now))
         out.add(TestConnection(member.address))
         ping(member.address, now, judged = false)
     }
@@ -316,10 +322,16 @@
         val expired = suspects.mapNotNull { table[it] }.filter { now.nanos >= it.suspicionDeadline }
         expired.forEach {
             counters = counters.copy(deaths = counters.deaths + 1)
-            merge(it.update().copy(state = MemberState.DEAD), now)
+            apply(it.update().copy(state = MemberState.DEAD), it, now, spread = !isIsolated(now))
         }
     }
 
+    /** An instance that hears nobody may be cut off itself, so it keeps its judgement of the others to itself. */
+    private fun isIsolated(now: Moment): Boolean {
+        val heard = lastHeard ?: return true
+        return now.nanos - heard > settings.isolationTimeout.toNanos()
+    }
+
     private fun probeDead(now: Moment) {
         if (now.nanos < nextDeadProbe) return
         val healing = healUntil?.let { now.nanos < it } ?: false
@@ -350,7 +362,7 @@
 
     private fun leave() {
         state = MemberState.LEFT
-        updateQueue.put(self.id, own)
+        queue.put(own)
         val news = News(own, revisions)
         randomMembers(settings.leaveFanout) { true }.forEach { out.add(Send(it.address, PeerMessage.Leave(news))) }
     }
@@ -358,9 +370,9 @@
     private fun gossip(now: Moment) {
         if (now.nanos < nextGossip) return
         nextGossip = now.nanos + settings.gossipInterval.toNanos()
-        if (updateQueue.size == 0 && factQueue.size == 0 && revisionSends <= 0) return
+        if (!queue.hasNews) return
         for (member in randomMembers(settings.gossipFanout) { true }) {
-            if (updateQueue.size == 0 && factQueue.size == 0 && revisionSends <= 0) return
+            if (!queue.hasNews) return
             out.add(Send(member.address, PeerMessage.Gossip(news(now))))
         }
     }
@@ -370,25 +382,26 @@
         nextCleanup = now.nanos + CLEANUP_PERIOD.toNanos()
         facts.expire(now)
         table.forgetGoneBefore(now.nanos - settings.deadRetention.toNanos())
-        val due = pullAgainAt
-        if (!membersPulled && due != null && now.nanos >= due) pullAgainAt = null
+        table.all().forEach { forgetSilence(it, now) }
+        synchronise(now)
     }
 
-    private fun news(now: Moment, accusation: MemberUpdate? = null): News {
-        revisionSends--
-        val limit = sendLimit()
-        val updates = updateQueue.take(settings.gossipBytes, limit)
-        val left = settings.gossipBytes - updates.sumOf { it.estimatedBytes() }
-        val sentFacts = factQueue.take(left, limit).filter { it.expiresAtMillis > now.wallMillis }
-        val accused = if (accusation == null || updates.contains(accusation)) updates else updates + accusation
-        return News(own, revisions, accused, sentFacts)
+    private fun forgetSilence(member: Member, now: Moment) {
+        val since = member.silentConnectionSince ?: return
+        if (now.nanos - since > settings.silenceMemory.toNanos()) member.silentConnectionSince = null
     }
 
-    private fun sendLimit(): Int {
-        val digits = Int.SIZE_BITS - (table.liveMembers.size + 1).countLeadingZeroBits()
-        return settings.retransmitFactor * digits
+    /** Repairs what bounded retransmission left out. */
+    private fun synchronise(now: Moment) {
+        val due = nextSync ?: (now.nanos + random.nextLong(settings.syncPeriod.toNanos()))
+        nextSync = due
+        if (now.nanos < due) return
+        nextSync = now.nanos + settings.syncPeriod.toNanos()
+        randomMembers(1) { it.state == MemberState.ALIVE }.forEach { out.add(PullMembers(it.address)) }
     }
 
+    private fun news(now: Moment, accusation: MemberUpdate? = null): News = queue.next(own, revisions, liveCount, now, accusation)
+
     private fun randomMembers(count: Int, accept: (Member) -> Boolean): List<Member> {
         val live = table.liveMembers
         if (live.size <= count) return live.filter(accept)
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/MembershipEvent.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/MembershipEvent.kt
@@ -22,6 +22,7 @@
     /** A member answered [MembershipCommand.PullMembers]. */
     public data class MembersReceived(
         val updates: List<MemberUpdate>,
+        val facts: List<Fact> = emptyList(),
     ) : MembershipEvent
 
     /** An open connection to [peer] made no progress. */
