--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/configuration/ConfigurationSync.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/configuration/ConfigurationSync.kt
@@ -45,6 +45,7 @@
     private var startedAt: Long? = null
     private var pull: Pull? = null
     private var newer: Newer? = null
+    private var wholeTables = false
 
     private class Pull(
         val from: InstanceId,
@@ -171,16 +172,23 @@
         newer = null
         if (!revisions.isBehind(source.revisions)) return
         pull = Pull(source.from.id, now.nanos + settings.pullTimeout.toNanos())
-        out.add(PullTables(source.from, revisions))
+        out.add(PullTables(source.from, if (wholeTables) TableRevisions() else revisions))
     }
 
     private fun deltaReceived(event: ConfigurationEvent.DeltaReceived, now: Moment) {
         if (pull?.from == event.from) pull = null
-        offer(assemble(event.delta), ConfigurationSource.PEER)
+        val tables = assemble(event.delta)
+        wholeTables = misses(event.delta, tables)
+        offer(tables, ConfigurationSource.PEER)
         if (pull == null) pullNewer(now)
     }
 
-    /** Tables that [delta] leads to. One that does not fit is left out and pulled again with the next revision heard. */
+    private fun misses(delta: ConfigurationDelta, tables: Configuration): Boolean =
+        (delta.routes != null && tables.routes.revision == 0L) ||
+            (delta.pools != null && tables.pools.revision == 0L) ||
+            (delta.accounts != null && tables.accounts.revision == 0L)
+
+    /** Tables that [delta] leads to. One that does not fit is left out; the next pull then asks for whole tables. */
     private fun assemble(delta: ConfigurationDelta): Configuration {
         val newRoutes = delta.routes?.let { change -> routes.apply(change)?.let { RouteTable(change.revision, it) } }
         val newPools = delta.pools?.let { change -> pools.apply(change)?.let { PoolTable(change.revision, it, delta.domainsOut) } }
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/lease/LeaseEvent.kt
@@ -0,0 +1,37 @@
+package io.buckthornlever.core.process.lease
+
+import io.buckthornlever.api.process.ObjectVersion
+
+/** Input of [LeaseMachine]. */
+public sealed interface LeaseEvent {
+    /** Time has passed. */
+    public data object Tick : LeaseEvent
+
+    /** The store's state at [revision]; [stored] is null when the lease has no record. */
+    public data class ReadDone(
+        val revision: ObjectVersion,
+        val stored: StoredLease?,
+    ) : LeaseEvent
+
+    /** The read failed. */
+    public data object ReadFailed : LeaseEvent
+
+    /** The write with [token] took effect. */
+    public data class WriteDone(
+        val token: String,
+        val version: ObjectVersion,
+    ) : LeaseEvent
+
+    /** The write with [token] certainly had no effect. */
+    public data class WriteFailed(
+        val token: String,
+    ) : LeaseEvent
+
+    /** The condition of the write did not hold, or its answer was lost: an earlier try with [token] may have taken effect. */
+    public data class WriteUncertain(
+        val token: String,
+    ) : LeaseEvent
+
+    /** This instance gives the lease up; its orders have ended. */
+    public data object ResignRequested : LeaseEvent
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/lease/LeaseRecord.kt
@@ -0,0 +1,20 @@
+package io.buckthornlever.core.process.lease
+
+import io.buckthornlever.api.process.InstanceId
+import kotlinx.serialization.Serializable
+
+/**
+ * Content of the stored object `leases/<name>`.
+ *
+ * @property holder null after the holder resigned
+ * @property fencing grows with each holder
+ * @property token unique per write; tells a writer whose answer was lost whether the write took effect
+ * @property ttlMillis time from the write after which an unchanged record has expired, in milliseconds
+ */
+@Serializable
+public data class LeaseRecord(
+    val holder: InstanceId?,
+    val fencing: Long,
+    val token: String,
+    val ttlMillis: Long,
+)
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/lease/LeaseState.kt
@@ -0,0 +1,52 @@
+package io.buckthornlever.core.process.lease
+
+import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.api.process.ObjectVersion
+
+/**
+ * State of one instance with regard to one lease. Times are monotonic nanoseconds.
+ *
+ * @property observed last record read and when it was first seen
+ * @property held set while this instance holds the lease
+ * @property pending write whose outcome is not known yet
+ * @property readDeadline set while a read is under way
+ */
+public data class LeaseState(
+    val self: InstanceId,
+    val incarnation: Long,
+    val writes: Long = 0,
+    val observed: Observed? = null,
+    val held: Held? = null,
+    val pending: Pending? = null,
+    val readDeadline: Long? = null,
+    val nextRead: Long? = null,
+) {
+    /** A record and the time at which it was first read. */
+    public data class Observed(
+        val lease: StoredLease,
+        val since: Long,
+    )
+
+    /**
+     * The lease as held.
+     *
+     * @property expiresAt counted from before the write was sent, so that it is never later than others assume
+     * @property renewAt when the next renewal is due
+     * @property unfencedOrdersFrom from when orders may go to engines that ignore fencing numbers
+     */
+    public data class Held(
+        val version: ObjectVersion,
+        val fencing: Long,
+        val expiresAt: Long,
+        val renewAt: Long,
+        val unfencedOrdersFrom: Long,
+    )
+
+    /** A write on its way; [uncertain] once its outcome has to be read back. */
+    public data class Pending(
+        val record: LeaseRecord,
+        val expected: ObjectVersion?,
+        val sentAt: Long,
+        val uncertain: Boolean = false,
+    )
+}
