--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/process/CloudInstance.kt
@@ -0,0 +1,17 @@
+package io.buckthornlever.api.process
+
+import kotlinx.serialization.Serializable
+
+/**
+ * An instance that the cloud runs for this site.
+ *
+ * @property requestId the request that started it, if the cloud reports it
+ */
+@Serializable
+public data class CloudInstance(
+    val id: String,
+    val failureDomain: FailureDomain,
+    val machineClass: String,
+    val kind: CloudInstanceKind,
+    val requestId: String? = null,
+)
--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/process/CloudNotice.kt
@@ -0,0 +1,16 @@
+package io.buckthornlever.api.process
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Announcement that the cloud takes an instance back.
+ *
+ * @property sequence position in the stream of notices
+ * @property reclaimAt when the instance ends, as ISO-8601 instant
+ */
+@Serializable
+public data class CloudNotice(
+    val sequence: Long,
+    val instanceId: String,
+    val reclaimAt: String,
+)
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveId.kt
@@ -0,0 +1,22 @@
+package io.buckthornlever.core.version
+
+import io.buckthornlever.api.process.PoolName
+import io.buckthornlever.api.version.VersionMove
+import kotlinx.serialization.Serializable
+
+/** Identity of one version move of a pool; a changed due time does not change it, a changed start time does. */
+@Serializable
+public data class MoveId(
+    val pool: PoolName,
+    val from: String,
+    val to: String,
+    val startAt: String,
+) {
+    public companion object {
+        /** Identity of [move] in [pool]. */
+        public fun of(
+            pool: PoolName,
+            move: VersionMove,
+        ): MoveId = MoveId(pool, move.from.value, move.to.value, move.startAt)
+    }
+}
