--- a/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/process/SettingsParserTest.kt
+++ b/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/process/SettingsParserTest.kt
@@ -3,6 +3,8 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import io.buckthornlever.api.process.ConfigurationError
+import java.nio.file.Files
+import java.nio.file.Path
 import java.time.Duration
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -46,6 +48,12 @@
         assertEquals(expected, error.findings.map { it.path })
     }
 
+    @Test
+    fun `the published example is accepted`() {
+        val text = Files.readString(Path.of("..", "docs", "examples", "settings.json"))
+        assertEquals(8082, SettingsParser.parse(text).get()?.listen?.peerPort)
+    }
+
     @Test
     fun `text that is no JSON object is malformed`() {
         listOf("", "{", "[]", "1", "null").forEach {
