Close every connection of a crashed engine and notice clients that leave

A socket accepted during a crash stayed open, so that its client waited for its read timeout; an answer interrupted by a crash could end as an empty 200; a plain answer noticed a closed connection only when no token was due.

--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/connection/StandInServer.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/connection/StandInServer.kt
@@ -3,9 +3,8 @@
 import io.javalin.Javalin
 import io.javalin.compression.CompressionStrategy
 import io.javalin.config.RoutesConfig
+import io.javalin.util.JavalinBindException
 import org.eclipse.jetty.io.EndPoint
-import org.eclipse.jetty.server.HttpConnectionFactory
-import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import java.util.Collections
 import java.util.WeakHashMap
@@ -17,7 +16,7 @@
 ) {
     private val silenced: MutableSet<EndPoint> = Collections.synchronizedSet(Collections.newSetFromMap(WeakHashMap()))
     private var javalin: Javalin? = null
-    private var connector: ServerConnector? = null
+    private var connector: TrackingConnector? = null
 
     @Volatile
     private var port = 0
@@ -34,13 +33,23 @@
     @Synchronized
     fun start() {
         if (open) return
-        val app = create()
-        app.start()
+        javalin = bind()
         port = checkNotNull(connector).localPort
-        javalin = app
         open = true
     }
 
+    /** Tries again while the operating system still holds the port of the server that was aborted before. */
+    private fun bind(): Javalin {
+        repeat(BIND_ATTEMPTS - 1) {
+            try {
+                return create().start()
+            } catch (_: JavalinBindException) {
+                Thread.sleep(BIND_PAUSE_MILLIS)
+            }
+        }
+        return create().start()
+    }
+
     /** Closes the listening socket and every connection without an HTTP answer, as a process death does. */
     fun abort() {
         val stopped = detach() ?: return
@@ -67,10 +76,7 @@
         val app = javalin ?: return null
         open = false
         javalin = null
-        connector?.let { current ->
-            current.close()
-            current.connectedEndPoints.toList().forEach { it.close() }
-        }
+        connector?.abort()
         return app
     }
 
@@ -81,7 +87,7 @@
             config.http.maxRequestSize = MAX_REQUEST_BYTES
             config.jetty.threadPool = QueuedThreadPool(maxThreads, MIN_THREADS).apply { isDaemon = true }
             config.jetty.addConnector { server, http ->
-                ServerConnector(server, 1, 1, HttpConnectionFactory(http)).also {
+                TrackingConnector(server, http).also {
                     it.host = LOOPBACK
                     it.port = port
                     it.acceptQueueSize = ACCEPT_QUEUE
@@ -94,6 +100,8 @@
 
     private companion object {
         const val LOOPBACK = "127.0.0.1"
+        const val BIND_ATTEMPTS = 100
+        const val BIND_PAUSE_MILLIS = 20L
         const val MIN_THREADS = 8
         const val ACCEPT_QUEUE = 512
         const val MAX_REQUEST_BYTES = 64_000_000L
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/BatchScheduler.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/BatchScheduler.kt
@@ -37,6 +37,9 @@
     val waiting: Int
         get() = lock.withLock { waitingJobs.size }
 
+    val inFlight: Int
+        get() = lock.withLock { batch.size + waitingJobs.size }
+
     fun start() {
         if (thread.state == Thread.State.NEW) thread.start()
     }
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
@@ -80,9 +80,9 @@
     public val isCold: Boolean
         get() = capacity.isCold
 
-    /** Requests in flight, waiting ones included. */
+    /** Requests in the batch and in the queue; each of them can be cancelled. */
     public val inFlight: Int
-        get() = capacity.inFlight
+        get() = scheduler.inFlight
 
     /** Largest number of requests in flight since the last start. */
     public val maxInFlight: Int
@@ -182,7 +182,10 @@
         records.arrived(arrival(request, current, null))
         checkResume(job)
         scheduler.submit(job)
-        if (admission == Admission.FATAL) return die(CrashCause.COLD_OVERLOAD)
+        if (admission == Admission.FATAL) {
+            die(CrashCause.COLD_OVERLOAD)
+            return exchange.drop()
+        }
         if (!CompletionWriter(exchange, job, disturbance(request)).write()) scheduler.end(job, EngineOutcome.DISCONNECTED)
         lastForeignId = request.id
     }
@@ -253,11 +256,12 @@
         if (job.request.prompt.contains(marker)) die(CrashCause.MARKER)
     }
 
+    @Synchronized
     private fun die(cause: CrashCause) {
         if (!server.isOpen) return
         val interrupted = scheduler.endAll()
-        records.crashed(EngineCrash(cause, clock.now(), interrupted))
         server.abort()
+        records.crashed(EngineCrash(cause, clock.now(), interrupted))
         cache.clear()
         kv.clear()
         val delay = faults.restartAfterMillis
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
@@ -75,6 +75,7 @@
     }
 
     /** Closes all connections at once, as a process death does; restarts if the faults say so. */
+    @Synchronized
     public fun crash() {
         if (!server.isOpen) return
         records.crashed()
@@ -129,7 +130,10 @@
         val current = capacity
         when (current.admit()) {
             Admission.OVERLOADED -> return refuse(context)
-            Admission.FATAL -> return crash()
+            Admission.FATAL -> {
+                crash()
+                return exchange.drop()
+            }
             Admission.ADMITTED -> Unit
         }
         var completed = false
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/request/CompletionWriter.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/request/CompletionWriter.kt
@@ -18,6 +18,7 @@
     private val disturbance: StreamDisturbance,
 ) {
     private val request = job.request
+    private var checkedAt = System.nanoTime()
 
     /**
      * Writes until the job ends or the connection is silent; false when the client has closed the connection before.
@@ -55,7 +56,7 @@
                     }
                 }
                 is EngineEvent.End -> {
-                    if (event.outcome == EngineOutcome.CRASHED) return true
+                    if (event.outcome == EngineOutcome.CRASHED) return dropped()
                     finish(output, held, event.outcome)
                     return true
                 }
@@ -134,7 +135,8 @@
                     text.append(event.text)
                 }
                 is EngineEvent.End -> {
-                    if (event.outcome != EngineOutcome.CRASHED && !exchange.isSilenced) answer(text.toString(), event.outcome)
+                    if (event.outcome == EngineOutcome.CRASHED) return dropped()
+                    if (!exchange.isSilenced) answer(text.toString(), event.outcome)
                     return true
                 }
             }
@@ -169,6 +171,12 @@
         exchange.answer(200, body)
     }
 
+    /** A dead engine must not end its answers in good order, even if this thread runs before the server has stopped. */
+    private fun dropped(): Boolean {
+        exchange.drop()
+        return true
+    }
+
     private fun usage(): JsonObject =
         buildJsonObject {
             put("prompt_tokens", job.prompt.size)
@@ -181,13 +189,16 @@
     /** Next progress of the job; null when the client is gone. */
     private fun next(): EngineEvent? {
         while (true) {
-            job.events.poll(POLL_MILLIS, TimeUnit.MILLISECONDS)?.let { return it }
-            if (exchange.clientGone()) return null
+            if (System.nanoTime() - checkedAt >= POLL_NANOS) {
+                if (exchange.clientGone()) return null
+                checkedAt = System.nanoTime()
+            }
+            job.events.poll(POLL_NANOS, TimeUnit.NANOSECONDS)?.let { return it }
         }
     }
 
     private companion object {
-        /** Longest time until the end of a connection is noticed while no token is written. */
-        const val POLL_MILLIS = 20L
+        /** Longest time until the end of a connection is noticed, also while tokens arrive but none is written. */
+        const val POLL_NANOS = 20_000_000L
     }
 }
--- a/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/EngineFaultsTest.kt
+++ b/buckthornlever-standin/src/test/kotlin/io/buckthornlever/standin/process/EngineFaultsTest.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Timeout
+import java.net.SocketTimeoutException
 import java.time.Duration
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -48,12 +49,24 @@
         assertEquals(1, engine.records.crashes(CrashCause.COLD_OVERLOAD))
     }
 
+    @Test
+    fun `no connection to a crashed engine stays open and the port is free for the restart`() {
+        repeat(20) {
+            assertEquals(200, EngineCalls(engine).complete("x").status)
+            val racing = calls.inBackground { EngineCalls(engine, Duration.ofSeconds(10)).complete("y") }
+            engine.crash()
+            val failure = racing.get().exceptionOrNull()
+            assertFalse(failure is SocketTimeoutException)
+            engine.restart(cold = false)
+        }
+    }
+
     @Test
     fun `a request with the marker kills the engine that executes it, which restarts by itself`() {
         engine.faults.crashMarker = "poison"
         engine.faults.restartAfterMillis = 0
         assertTrue(runCatching { calls.complete("some poison here") }.isFailure)
-        awaitUntil { engine.isUp }
+        awaitUntil { engine.records.crashes(CrashCause.MARKER) == 1 && engine.isUp }
         assertEquals(EngineOutcome.CRASHED, engine.records.executions.single().outcome)
         assertEquals(200, calls.complete("harmless").status)
     }
@@ -65,8 +78,8 @@
         calls.complete("x")
         assertTrue(engine.records.arrivals.single().leaving)
         engine.reclaim(Duration.ZERO)
-        awaitUntil { !engine.isUp }
-        assertEquals(1, engine.records.crashes(CrashCause.RECLAIM))
+        awaitUntil { engine.records.crashes(CrashCause.RECLAIM) == 1 }
+        assertFalse(engine.isUp)
     }
 
     @Test
