Record a crash before any client can notice it

Checks that read the records after a client error found no crash in 5 of 10 repetitions of the cold-start test, because the record was written last.

--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/connection/StandInServer.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/connection/StandInServer.kt
@@ -50,6 +50,14 @@
         return create().start()
     }
 
+    /** Begins the end of the process; false when it is down already. Call [abort] next. */
+    @Synchronized
+    fun markDown(): Boolean {
+        val wasOpen = open
+        open = false
+        return wasOpen
+    }
+
     /** Closes the listening socket and every connection without an HTTP answer, as a process death does. */
     fun abort() {
         val stopped = detach() ?: return
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/BatchScheduler.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/BatchScheduler.kt
@@ -67,13 +67,13 @@
         outcome: EngineOutcome,
     ): Unit = lock.withLock { finish(job, outcome) }
 
-    /** Ends all requests as crashed and returns their ids. */
-    fun endAll(): List<String> =
+    /** Ends all requests as crashed; [beforeEnd] gets their ids before any of their clients can notice. */
+    fun endAll(beforeEnd: (List<String>) -> Unit): Unit =
         lock.withLock {
             val jobs = batch + waitingJobs
+            beforeEnd(jobs.map { it.request.id })
             jobs.forEach { finish(it, EngineOutcome.CRASHED) }
             endedSequences.clear()
-            jobs.map { it.request.id }
         }
 
     /** Prompt and answer so far of the request with [id], in flight or among the last ones that ended. */
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
@@ -105,7 +105,7 @@
 
     override fun close() {
         timer.close()
-        scheduler.endAll()
+        scheduler.endAll {}
         scheduler.close()
         server.close()
         kvEndpoint.close()
@@ -115,6 +115,7 @@
     public fun crash(): Unit = die(CrashCause.DEMAND)
 
     /** Starts again on the same port after a crash, with an empty cache and cold unless [cold] is false. */
+    @Synchronized
     public fun restart(cold: Boolean = true) {
         capacity = newCapacity(cold)
         leaving = false
@@ -258,10 +259,9 @@
 
     @Synchronized
     private fun die(cause: CrashCause) {
-        if (!server.isOpen) return
-        val interrupted = scheduler.endAll()
+        if (!server.markDown()) return
+        scheduler.endAll { records.crashed(EngineCrash(cause, clock.now(), it)) }
         server.abort()
-        records.crashed(EngineCrash(cause, clock.now(), interrupted))
         cache.clear()
         kv.clear()
         val delay = faults.restartAfterMillis
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
@@ -77,13 +77,14 @@
     /** Closes all connections at once, as a process death does; restarts if the faults say so. */
     @Synchronized
     public fun crash() {
-        if (!server.isOpen) return
+        if (!server.markDown()) return
         records.crashed()
         server.abort()
         faults.restartAfterMillis?.let { timer.after(it) { restart() } }
     }
 
     /** Starts again on the same port after a crash, cold unless [cold] is false. */
+    @Synchronized
     public fun restart(cold: Boolean = true) {
         capacity = newCapacity(cold)
         leaving = false
