--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/EngineStandIn.kt
@@ -80,9 +80,9 @@
     public val isCold: Boolean
         get() = capacity.isCold
 
-    /** Requests in flight, waiting ones included. */
+    /** Requests in the batch and in the queue; each of them can be cancelled. */
     public val inFlight: Int
-        get() = capacity.inFlight
+        get() = scheduler.inFlight
 
     /** Largest number of requests in flight since the last start. */
     public val maxInFlight: Int
@@ -105,7 +105,7 @@
 
     override fun close() {
         timer.close()
-        scheduler.endAll()
+        scheduler.endAll {}
         scheduler.close()
         server.close()
         kvEndpoint.close()
@@ -115,6 +115,7 @@
     public fun crash(): Unit = die(CrashCause.DEMAND)
 
     /** Starts again on the same port after a crash, with an empty cache and cold unless [cold] is false. */
+    @Synchronized
     public fun restart(cold: Boolean = true) {
         capacity = newCapacity(cold)
         leaving = false
@@ -182,7 +183,10 @@
         records.arrived(arrival(request, current, null))
         checkResume(job)
         scheduler.submit(job)
-        if (admission == Admission.FATAL) return die(CrashCause.COLD_OVERLOAD)
+        if (admission == Admission.FATAL) {
+            die(CrashCause.COLD_OVERLOAD)
+            return exchange.drop()
+        }
         if (!CompletionWriter(exchange, job, disturbance(request)).write()) scheduler.end(job, EngineOutcome.DISCONNECTED)
         lastForeignId = request.id
     }
@@ -253,10 +257,10 @@
         if (job.request.prompt.contains(marker)) die(CrashCause.MARKER)
     }
 
+    @Synchronized
     private fun die(cause: CrashCause) {
-        if (!server.isOpen) return
-        val interrupted = scheduler.endAll()
-        records.crashed(EngineCrash(cause, clock.now(), interrupted))
+        if (!server.markDown()) return
+        scheduler.endAll { records.crashed(EngineCrash(cause, clock.now(), it)) }
         server.abort()
         cache.clear()
         kv.clear()
--- a/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
+++ b/buckthornlever-standin/src/main/kotlin/io/buckthornlever/standin/process/PlainServiceStandIn.kt
@@ -75,14 +75,16 @@
     }
 
     /** Closes all connections at once, as a process death does; restarts if the faults say so. */
+    @Synchronized
     public fun crash() {
-        if (!server.isOpen) return
+        if (!server.markDown()) return
         records.crashed()
         server.abort()
         faults.restartAfterMillis?.let { timer.after(it) { restart() } }
     }
 
     /** Starts again on the same port after a crash, cold unless [cold] is false. */
+    @Synchronized
     public fun restart(cold: Boolean = true) {
         capacity = newCapacity(cold)
         leaving = false
@@ -129,7 +131,10 @@
         val current = capacity
         when (current.admit()) {
             Admission.OVERLOADED -> return refuse(context)
-            Admission.FATAL -> return crash()
+            Admission.FATAL -> {
+                crash()
+                return exchange.drop()
+            }
             Admission.ADMITTED -> Unit
         }
         var completed = false
