--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -1,8 +1,13 @@
 package io.buckthornlever.bench.process
 
+import io.buckthornlever.bench.request.LocalityExperiment
+
 /** All experiments in the order in which `list` prints them. */
 internal object ExperimentRegistry {
-    val all: List<Experiment> = listOf()
+    val all: List<Experiment> =
+        listOf(
+            LocalityExperiment(),
+        )
 
     /** The experiment called [name], or null. */
     fun find(name: String): Experiment? = all.firstOrNull { it.name == name }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/CandidateSearch.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/CandidateSearch.kt
@@ -8,8 +8,8 @@
 /**
  * Searches the few candidates of a key in the tiers of one or more version groups.
  *
- * The first candidate in rendezvous order below the target utilisation is suitable; the tiers are visited from the cheapest
- * on. If there is none, [fallback] is the first one within the load bound of its tier, else the one with the least load.
+ * The first candidate in rendezvous order within the load bound is suitable; the tiers are visited from the cheapest on. If
+ * there is none, [fallback] is the one with the least load.
  */
 internal class CandidateSearch(
     private val shares: ColdStartShares,
@@ -17,12 +17,11 @@
     private val trace: DecisionTrace,
 ) {
     private val candidates = Candidates()
-    private var bounded: UpstreamRuntime? = null
     private var least: UpstreamRuntime? = null
     private var leastUtilisation = Double.MAX_VALUE
 
-    /** Upstream that can take the request, although it is above the target. */
-    val fallback: UpstreamRuntime? get() = bounded ?: least
+    /** Upstream that can take the request, although it is above the bound. */
+    val fallback: UpstreamRuntime? get() = least
 
     /** Suspect upstream that can take the request if no healthy one can. */
     var lastResort: UpstreamRuntime? = null
@@ -39,7 +38,6 @@
     }
 
     fun clearFallback() {
-        bounded = null
         least = null
         leastUtilisation = Double.MAX_VALUE
     }
@@ -51,16 +49,18 @@
         request: RoutingRequest,
         nanos: Long,
     ): UpstreamRuntime? {
-        for (tier in group.tiers) {
+        for (i in group.tiers.indices) {
+            val tier = group.tiers[i]
             tier.candidates(key, candidates)
-            val found = suitable(tier, key, request, nanos)
+            val bound = bound(tier, request.route.workClass, i == group.tiers.lastIndex)
+            val found = suitable(bound, key, request, nanos)
             if (found != null) return found
         }
         return null
     }
 
     private fun suitable(
-        tier: PriceTier,
+        bound: Double,
         key: Long,
         request: RoutingRequest,
         nanos: Long,
@@ -75,9 +75,9 @@
                 refused(candidate, refusal, request, nanos)
                 continue
             }
-            if (!belowTarget(candidate, tier, request.route.workClass)) {
+            if (!isWithin(candidate, bound)) {
                 trace.record(candidate, Verdict.ABOVE_TARGET)
-                offerFallback(candidate, tier)
+                offerFallback(candidate)
                 continue
             }
             trace.record(candidate, Verdict.LESS_SUITABLE)
@@ -155,22 +155,26 @@
         return maxOf(1, (capacity * LONG_CAPACITY).toInt())
     }
 
-    private fun belowTarget(
-        candidate: UpstreamRuntime,
+    /**
+     * Utilisation up to which candidates of [tier] are suitable: the target, or the load bound once the tier as a whole is near
+     * the target. A tier above its target leaves the excess to the next one, unless it is the last.
+     */
+    private fun bound(
         tier: PriceTier,
         work: WorkClass,
-    ): Boolean {
-        if (candidate.state == UpstreamState.COLD) return true
+        last: Boolean,
+    ): Double {
         val target = if (work == WorkClass.LONG) tier.target.value * LONG_TARGET else tier.target.value
-        return candidate.load + 1 <= maxOf(1.0, target * candidate.capacity)
+        return if (last || tier.utilisationWithOneMore <= target) maxOf(target, LOAD_BOUND * tier.utilisation) else target
     }
 
-    private fun offerFallback(
+    private fun isWithin(
         candidate: UpstreamRuntime,
-        tier: PriceTier,
-    ) {
+        bound: Double,
+    ): Boolean = candidate.state == UpstreamState.COLD || candidate.load + 1 <= maxOf(1.0, bound * candidate.capacity)
+
+    private fun offerFallback(candidate: UpstreamRuntime) {
         val utilisation = utilisation(candidate)
-        if (bounded == null && utilisation <= LOAD_BOUND * tier.utilisation) bounded = candidate
         if (utilisation < leastUtilisation) {
             leastUtilisation = utilisation
             least = candidate
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/PrefixKeyChooser.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/PrefixKeyChooser.kt
@@ -3,7 +3,8 @@
 /**
  * Chooses the block hash whose upstreams a prompt uses. Starts at a fixed depth, so that instances agree without
  * communication. While the prompts below one hash are a larger part of the traffic than a few upstreams can carry, it goes
- * deeper along a fixed ladder, as long as the deeper prefix has been seen before.
+ * deeper along a fixed ladder. It does so for prompts that this instance has never seen, too: with nine instances, most
+ * contexts are rare at each of them.
  */
 internal class PrefixKeyChooser {
     private val keys = LongArray(SIZE)
@@ -18,11 +19,9 @@
         val bound = maxOf(MIN_COUNT, PART * minOf(seen, WINDOW) / maxOf(1, upstreams))
         var key = prefix[minOf(FIRST_DEPTH, prefix.size) - 1]
         var depth = FIRST_DEPTH
-        while (count(key) > bound && depth * 2 <= prefix.size) {
-            depth *= 2
-            val deeper = prefix[depth - 1]
-            if (count(deeper) < KNOWN) break
-            key = deeper
+        while (count(key) > bound && depth < prefix.size) {
+            depth = minOf(depth * 2, prefix.size)
+            key = prefix[depth - 1]
         }
         return key
     }
@@ -65,7 +64,6 @@
         /** A key may have this many times the average traffic of an upstream before it is divided. */
         const val PART = 2
         const val MIN_COUNT = 32
-        const val KNOWN = 2
         const val WINDOW = 4_096
         const val SIZE = 1 shl 13
     }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/PriceTier.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/PriceTier.kt
@@ -27,6 +27,9 @@
     /** Load over capacity of all usable members. */
     val utilisation: Double get() = if (capacity <= 0) 1.0 else load.toDouble() / capacity
 
+    /** [utilisation] after one more request. */
+    val utilisationWithOneMore: Double get() = if (capacity <= 0) 1.0 else (load + 1.0) / capacity
+
     /** Fills [into] with a few members for [key], the same on every instance, best first. */
     fun candidates(
         key: Long,
