Divide the room of busy upstreams among instances and add the overload experiment

Up to 79 requests were at engines with 16 slots: all nine instances filled the same room that one lagging report showed. While requests wait, each instance now takes its part of the reported room, rounded by a hash. Requests are refused on arrival once the expected wait exceeds their time.

--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -1,12 +1,14 @@
 package io.buckthornlever.bench.process
 
 import io.buckthornlever.bench.request.LocalityExperiment
+import io.buckthornlever.bench.request.OverloadExperiment
 
 /** All experiments in the order in which `list` prints them. */
 internal object ExperimentRegistry {
     val all: List<Experiment> =
         listOf(
             LocalityExperiment(),
+            OverloadExperiment(),
         )
 
     /** The experiment called [name], or null. */
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/SimulatedCall.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/SimulatedCall.kt
@@ -25,6 +25,11 @@
     /** True when an engine has begun to run the call. */
     var ran: Boolean = false
 
-    val cost: Double get() = (promptTokens + outputTokens).toDouble()
+    /** Use of an engine in output tokens; a prompt token takes about a twelfth of an output token's share of an engine's time. */
+    val cost: Double get() = outputTokens + promptTokens / PROMPT_PER_OUTPUT
     val inTime: Boolean get() = finishedAt?.let { it <= deadline } ?: false
+
+    private companion object {
+        const val PROMPT_PER_OUTPUT = 12.0
+    }
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/ColdStartShares.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/ColdStartShares.kt
@@ -27,6 +27,12 @@
     private val waitUntil = startNanos + settings.startHold.toNanos()
     private var waiting = true
 
+    /** Live entry instances, at least this one. */
+    internal val instances: Int get() = maxOf(1, live.size)
+
+    /** Number from 0 to 1 that differs between instances and between values of [key]. */
+    internal fun rounding(key: Long): Double = Mixing.unit(Mixing.combine(key, selfHash))
+
     /** Takes the live entry instances, this one included, as this instance sees them from [nanos] on. */
     public fun membersChanged(
         members: Collection<InstanceId>,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/UpstreamRuntime.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/UpstreamRuntime.kt
@@ -4,6 +4,7 @@
 import io.buckthornlever.api.process.UpstreamSpec
 import io.buckthornlever.core.request.Mixing
 import io.buckthornlever.core.request.PriceTier
+import kotlin.math.floor
 
 /** What this instance knows about one upstream; survives changes of the configuration. */
 internal class UpstreamRuntime(
@@ -23,6 +24,13 @@
     private var coldSigns = 0
     private var leaving = false
 
+    /**
+     * This instance's part of the capacity as of the last report: what it had in flight then and its part of the room that was
+     * left. Applies under contention, when all instances would otherwise fill the same room at the same time.
+     */
+    var fairPart: Int = Int.MAX_VALUE
+        private set
+
     /** Tiers that contain this upstream, one per pool that lists it, with its position in each. */
     var memberships: List<PriceTier.Membership> = emptyList()
 
@@ -76,15 +84,26 @@
         return becameCold
     }
 
-    /** Takes a report measured [measuredNanos] on this instance's monotonic clock; older reports than the last are ignored. */
+    /**
+     * Takes a report measured [measuredNanos] on this instance's monotonic clock; older reports than the last are ignored.
+     *
+     * @param instances live entry instances
+     * @param rounding number from 0 to 1 that differs between instances and reports
+     */
     fun reported(
         report: LoadReport,
         measuredNanos: Long,
         nanos: Long,
+        instances: Int,
+        rounding: Double,
     ) {
         if (measuredNanos < reportTakenAt) return
         reportTakenAt = measuredNanos
-        othersAtReport = maxOf(0, report.running + report.waiting - history.at(measuredNanos))
+        val reportedLoad = report.running + report.waiting
+        val own = history.at(measuredNanos)
+        othersAtReport = maxOf(0, reportedLoad - own)
+        val room = (minOf(report.capacity, spec.concurrency) - reportedLoad).toDouble()
+        fairPart = maxOf(0, own + floor(room / maxOf(1, instances) + rounding).toInt())
         leaving = report.leaving
         if (report.cold) {
             enterRamp(nanos)
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/AdmissionController.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/AdmissionController.kt
@@ -40,7 +40,7 @@
             return error(ErrorCode.TOO_MANY_REQUESTS, "too many waiting requests of this account", wait(lane, request))
         }
         val wait = lane.expectedWaitNanos(request)
-        if (wait != null && wait > WAIT_TOLERANCE * (request.startBefore - now)) {
+        if (wait != null && wait > request.startBefore - now) {
             return error(ErrorCode.OVERLOADED, "the wait would exceed the request's time", duration(wait))
         }
         lane.add(request, now)
@@ -122,8 +122,6 @@
     private companion object {
         const val MIN_WEIGHT = 0.001
 
-        /** The rate of starts is an estimate; refusing at the exact expected wait would leave capacity unused. */
-        const val WAIT_TOLERANCE = 1.5
         val RETRY_AFTER: Duration = Duration.ofSeconds(1)
         val MAX_RETRY_AFTER: Duration = Duration.ofSeconds(60)
     }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/CandidateSearch.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/CandidateSearch.kt
@@ -20,6 +20,9 @@
     private var least: UpstreamRuntime? = null
     private var leastUtilisation = Double.MAX_VALUE
 
+    /** True while requests wait; room is then divided among the instances instead of being open to the first. */
+    var contended: Boolean = false
+
     /** Upstream that can take the request, although it is above the bound. */
     val fallback: UpstreamRuntime? get() = least
 
@@ -129,6 +132,7 @@
         when {
             candidate.inFlight >= candidate.ownLimit(shares, nanos) -> Verdict.CONCURRENCY_LIMIT
             candidate.load >= usableCapacity(candidate, work) -> Verdict.FULL
+            contended && candidate.inFlight >= candidate.fairPart -> Verdict.FULL
             else -> null
         }
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/RequestRouter.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/RequestRouter.kt
@@ -41,6 +41,7 @@
     private var pools: Map<String, PoolIndex> = emptyMap()
     private val listed = HashSet<String>()
     private var lastResortPool: PoolIndex? = null
+    private var contendedUntil = Long.MIN_VALUE
     private var table = PoolTable()
 
     /** Finds routes by the tables in effect. */
@@ -105,7 +106,8 @@
     ) {
         val runtime = upstreams[upstream.value] ?: return
         val now = clock.monotonicNanos()
-        runtime.reported(report, now - age(report).toNanos(), now)
+        val measured = now - age(report).toNanos()
+        runtime.reported(report, measured, now, shares.instances, shares.rounding(runtime.hash xor measured))
     }
 
     override fun healthChanged(
@@ -154,6 +156,7 @@
         search.clear()
         lastResortPool = null
         val now = clock.monotonicNanos()
+        search.contended = now < contendedUntil
         for (name in request.route.pools) {
             val pool = pools[name.value] ?: continue
             val chosen = inPool(pool, request, now, reserve)
@@ -164,7 +167,9 @@
         val home = lastResortPool
         if (suspect != null && home != null) return accept(suspect, home, now, reserve, request)
         val explanation = trace.copy(exclusions(request))
-        return if (search.sawBusy) Selection.AtCapacity(explanation) else Selection.NoUpstream(explanation)
+        if (!search.sawBusy) return Selection.NoUpstream(explanation)
+        if (reserve) contendedUntil = now + CONTENTION_NANOS
+        return Selection.AtCapacity(explanation)
     }
 
     private fun inPool(
@@ -250,6 +255,9 @@
     }
 
     private companion object {
+        /** Contention after a request found no place; longer than the lag of load reports. */
+        const val CONTENTION_NANOS = 2_000_000_000L
+
         /** Events are repeated by the next detection, so that dropping the oldest loses little. */
         const val MAX_EVENTS = 1_000
     }
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/request/RequestRouterTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/request/RequestRouterTest.kt
@@ -173,6 +173,26 @@
         assertEquals(setOf(0, 1), loads().toSet())
     }
 
+    /** Guards against nine instances that all fill the same room which one lagging report shows, as in the overload experiment. */
+    @Test
+    fun `under contention the instances divide the room that a report shows`() {
+        val ids = (1..9).map { InstanceId("e$it") }
+        val routers = ids.map { RequestRouter(it, clock) }
+        routers.forEach { instance ->
+            instance.configure(Fixtures.configuration(listOf(Fixtures.spec("u1", concurrency = 18))))
+            instance.membersChanged(ids)
+            instance.loadReported(UpstreamId("u1"), Fixtures.report(18, 18, clock.now()))
+            assertIs<Selection.AtCapacity>(instance.select(request()))
+        }
+        clock.advance(Duration.ofSeconds(1))
+        var started = 0
+        for (instance in routers) {
+            instance.loadReported(UpstreamId("u1"), Fixtures.report(9, 18, clock.now()))
+            started += generateSequence { instance.select(request()) }.takeWhile { it is Selection.Chosen }.count()
+        }
+        assertTrue(started in 5..13, "$started requests for 9 free places")
+    }
+
     private fun loads(): List<Int> = router.explain(request()).explanation.candidates.map { it.load }
 
     private fun configure(
