--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -7,6 +7,13 @@
     val all: List<Experiment> = listOf(
         ForwardExperiment(),
     )
+import io.buckthornlever.bench.request.LocalityExperiment
+import io.buckthornlever.bench.request.OverloadExperiment
+    val all: List<Experiment> =
+        listOf(
+            LocalityExperiment(),
+            OverloadExperiment(),
+        )
 
     /** The experiment called [name], or null. */
     fun find(name: String): Experiment? = all.firstOrNull { it.name == name }
