Compare the recovery machines with naive baselines in five experiments

Cause: the bounds of at-most-once, crash-request, reclaim, silent-connection and shutdown had no measured comparison.

--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -1,11 +1,19 @@
 package io.buckthornlever.bench.process
 
+import io.buckthornlever.bench.request.AtMostOnceExperiment
+import io.buckthornlever.bench.request.CrashRequestExperiment
 import io.buckthornlever.bench.request.ForwardExperiment
+import io.buckthornlever.bench.request.StreamExperiment
 
 /** All experiments in the order in which `list` prints them. */
 internal object ExperimentRegistry {
     val all: List<Experiment> = listOf(
         ForwardExperiment(),
+        AtMostOnceExperiment,
+        CrashRequestExperiment,
+        StreamExperiment.RECLAIM,
+        StreamExperiment.SILENT_CONNECTION,
+        ShutdownExperiment,
     )
 
     /** The experiment called [name], or null. */
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/ShutdownMachine.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/ShutdownMachine.kt
@@ -1,9 +1,10 @@
 package io.buckthornlever.core.process
 
+import io.buckthornlever.core.request.Machine
 import io.buckthornlever.core.request.Step
 
 /** Ends an entry instance within a notice without cutting a request. */
-public object ShutdownMachine {
+public object ShutdownMachine : Machine<ShutdownState, ShutdownEvent, ShutdownCommand> {
     /** Time in which the load balancer notices that the instance is not ready, in nanoseconds; invariant 8 allows 3 s. */
     public const val DRAIN_NANOS: Long = 3_000_000_000
 
@@ -13,8 +14,8 @@
     /** Period in which peers are told again until one confirms, in nanoseconds. */
     public const val TELL_NANOS: Long = 500_000_000
 
-    /** Feeds [event] at the monotonic time [now]. */
-    public fun step(
+    /** Feeds [event] at the monotonic time in nanoseconds [now]. */
+    override fun step(
         state: ShutdownState,
         event: ShutdownEvent,
         now: Long,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/JobMachine.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/JobMachine.kt
@@ -13,7 +13,7 @@
  * store. A job is idempotent because of its seed, so its owner continues while the lease cannot be renewed; the
  * conditional update decides whose result is recorded.
  */
-public object JobMachine {
+public object JobMachine : Machine<JobOwnership, JobEvent, JobCommand> {
     /** Validity of a lease after a write, in milliseconds. */
     public const val LEASE_MILLIS: Long = 10_000
 
@@ -52,23 +52,23 @@
         self: InstanceId,
     ): JobOwnership = JobOwnership(self, record.copy(owner = self, fencing = record.fencing + 1), version = version, fresh = false)
 
-    /** Feeds [event] at the wall-clock time [nowMillis]. */
-    public fun step(
-        job: JobOwnership,
+    /** Feeds [event] at the wall-clock time in milliseconds [now]. */
+    override fun step(
+        state: JobOwnership,
         event: JobEvent,
-        nowMillis: Long,
+        now: Long,
     ): Step<JobOwnership, JobCommand> =
         when {
-            job.phase == JobPhase.ENDED -> Step(job, emptyList())
-            event is JobEvent.Begin -> write(job, nowMillis)
-            event is JobEvent.Written -> settled(job.copy(version = event.version), nowMillis)
-            event is JobEvent.Read -> read(job, event, nowMillis)
-            event is JobEvent.StoreFailed -> failed(job, event.error, nowMillis)
-            event is JobEvent.Woken -> if (job.maybeWritten) reread(job) else write(job, nowMillis)
-            event is JobEvent.RenewDue -> renew(job, nowMillis)
-            event is JobEvent.Finished -> finished(job, event, nowMillis)
-            event is JobEvent.HandOver -> handOver(job, event, nowMillis)
-            else -> Step(job, emptyList())
+            state.phase == JobPhase.ENDED -> Step(state, emptyList())
+            event is JobEvent.Begin -> write(state, now)
+            event is JobEvent.Written -> settled(state.copy(version = event.version), now)
+            event is JobEvent.Read -> read(state, event, now)
+            event is JobEvent.StoreFailed -> failed(state, event.error, now)
+            event is JobEvent.Woken -> if (state.maybeWritten) reread(state) else write(state, now)
+            event is JobEvent.RenewDue -> renew(state, now)
+            event is JobEvent.Finished -> finished(state, event, now)
+            event is JobEvent.HandOver -> handOver(state, event, now)
+            else -> Step(state, emptyList())
         }
 
     private fun change(
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/OnceMachine.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/OnceMachine.kt
@@ -12,7 +12,7 @@
  * The call is sent only by the submission whose token is in the record, and only once. Every other submission answers
  * from the record. `not-run` refers to the submission that it answers: it was not sent and will not be sent.
  */
-public object OnceMachine {
+public object OnceMachine : Machine<OnceCall, OnceEvent, OnceCommand> {
     /** Time for which a record prevents another execution, in milliseconds. */
     public const val RECORD_TTL_MILLIS: Long = 86_400_000
 
@@ -35,20 +35,20 @@
     private const val MAX_WAIT_MILLIS = 10_000L
     private const val MAX_DOUBLINGS = 8
 
-    /** Feeds [event] at the wall-clock time [nowMillis]. */
-    public fun step(
-        call: OnceCall,
+    /** Feeds [event] at the wall-clock time in milliseconds [now]. */
+    override fun step(
+        state: OnceCall,
         event: OnceEvent,
-        nowMillis: Long,
+        now: Long,
     ): Step<OnceCall, OnceCommand> =
-        when (call.phase) {
-            OncePhase.CREATING, OncePhase.REPLACING -> writing(call, event, nowMillis)
-            OncePhase.READING -> reading(call, event, nowMillis)
-            OncePhase.WAITING -> if (event is OnceEvent.Woken) read(call) else ignore(call)
-            OncePhase.DISPATCHED -> dispatched(call, event)
-            OncePhase.RECORDING -> recording(call, event)
-            OncePhase.RELEASING -> releasing(call, event)
-            OncePhase.FINISHED -> ignore(call)
+        when (state.phase) {
+            OncePhase.CREATING, OncePhase.REPLACING -> writing(state, event, now)
+            OncePhase.READING -> reading(state, event, now)
+            OncePhase.WAITING -> if (event is OnceEvent.Woken) read(state) else ignore(state)
+            OncePhase.DISPATCHED -> dispatched(state, event)
+            OncePhase.RECORDING -> recording(state, event)
+            OncePhase.RELEASING -> releasing(state, event)
+            OncePhase.FINISHED -> ignore(state)
         }
 
     private fun writing(
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/StreamMachine.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/StreamMachine.kt
@@ -6,7 +6,7 @@
 import io.buckthornlever.api.request.RequestError
 
 /** Completes a stream over failures of upstreams and connections, with every token relayed once and in order. */
-public object StreamMachine {
+public object StreamMachine : Machine<StreamState, StreamEvent, StreamCommand> {
     /** Attempts of one stream that end at an upstream; waiting for a candidate does not count. */
     public const val MAX_ATTEMPTS: Int = 12
 
@@ -18,8 +18,8 @@
 
     private const val NANOS_PER_MILLI = 1_000_000L
 
-    /** Feeds [event] at the monotonic time [now]. */
-    public fun step(
+    /** Feeds [event] at the monotonic time in nanoseconds [now]. */
+    override fun step(
         state: StreamState,
         event: StreamEvent,
         now: Long,
