Run non-repeatable calls at most once in the daemon

Cause: the daemon sent every non-repeatable call without a record, so a resubmission executed it again.

The request thread carries out the state machine up to the answer; recording the outcome or removing the record goes on in the background. Tests with real processes: a duplicate key executes once and is replayed, eight concurrent submissions of one key execute once and all get the answer, an outage of the store refuses as not run and the service's record shows no execution, a lost response of the store is read back, an unknown outcome is not executed again.

--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
@@ -9,6 +9,7 @@
 import io.buckthornlever.daemon.request.CallerServer
 import io.buckthornlever.daemon.request.FixedAdmissionGate
 import io.buckthornlever.daemon.request.ModelRelay
+import io.buckthornlever.daemon.request.OnceRunner
 import io.buckthornlever.daemon.request.PlainRelay
 import io.buckthornlever.daemon.request.RequestPipeline
 import io.buckthornlever.platform.connection.HttpUpstreamClient
@@ -32,6 +33,7 @@
     private val upstreams = UpstreamRegistry()
     private val client = HttpUpstreamClient()
     private val store = HttpObjectStore(settings.platform.objectStoreUrl)
+    private val background = BackgroundTasks(log)
     private val attempts = AttemptRunner(client, upstreams, metrics, log)
     private val selector = LeastLoadedSelector(upstreams)
     private val pipeline =
@@ -39,7 +41,7 @@
             configuration = configuration,
             gate = FixedAdmissionGate(settings.limits.concurrentRequests),
             models = ModelRelay(selector, attempts, clock, log),
-            plain = PlainRelay(selector, attempts, clock),
+            plain = PlainRelay(selector, attempts, clock, OnceRunner(store, clock, background)),
             clock = clock,
             random = random,
             metrics = metrics,
@@ -86,6 +88,8 @@
         pipeline.closing = true
         awaitOpenRequests(settings.shutdownGrace)
         if (pipeline.openRequests > 0) log.write(LogEvent.SHUTDOWN_GRACE_OVER, "open" to pipeline.openRequests)
+        background.drain(BACKGROUND_DRAIN)
+        background.close()
         watcher.close()
         poller.close()
         callers.close()
@@ -131,6 +135,7 @@
     }
 
     private companion object {
+        val BACKGROUND_DRAIN: Duration = Duration.ofSeconds(2)
         const val DRAIN_CHECK_MILLIS = 20L
         const val MAX_DUMPED_UPSTREAMS = 200
     }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapBoth
 import io.buckthornlever.api.connection.Header
 import io.buckthornlever.api.connection.UpstreamError
@@ -15,6 +16,7 @@
 import io.buckthornlever.api.request.ErrorCode
 import io.buckthornlever.api.request.Executed
 import io.buckthornlever.api.request.RequestError
+import io.buckthornlever.api.request.WorkClass
 import io.buckthornlever.core.request.CandidateSelector
 import io.buckthornlever.core.request.SelectionQuery
 import java.io.IOException
@@ -27,13 +29,14 @@
     private val selector: CandidateSelector,
     private val attempts: AttemptRunner,
     private val clock: Clock,
+    private val once: OnceRunner,
 ) {
     /** Answers the request; the returned code is the outcome for metrics. */
     fun relay(
         scope: RequestScope,
         body: ByteArray,
     ): String =
-        call(scope, body).mapBoth(
+        (if (scope.route.workClass == WorkClass.NON_REPEATABLE) callOnce(scope, body) else call(scope, body)).mapBoth(
             success = {
                 scope.exchange.answer(it.status, it.headers, it.body)
                 "ok"
@@ -44,8 +47,24 @@
             },
         )
 
-    /** Has the call executed by an upstream and returns its whole answer. */
-    fun call(
+    private fun callOnce(
+        scope: RequestScope,
+        body: ByteArray,
+    ): Result<WholeResponse, RequestError> {
+        val key = scope.exchange.header(RequestPipeline.IDEMPOTENCY_KEY).orEmpty()
+        return once
+            .run(scope, key, body) {
+                call(scope, body).map { OnceAnswer(it.status, contentType(it), it.headers, it.body, replayed = false) }
+            }.map { WholeResponse(it.status, if (it.replayed) replayHeaders(it) else it.headers, it.body) }
+    }
+
+    private fun contentType(response: WholeResponse): String? =
+        response.headers.firstOrNull { it.name.equals("Content-Type", ignoreCase = true) }?.value
+
+    private fun replayHeaders(answer: OnceAnswer): List<Header> =
+        listOfNotNull(answer.contentType?.let { Header("Content-Type", it) }, Header("Idempotency-Replayed", "true"))
+
+    private fun call(
         scope: RequestScope,
         body: ByteArray,
     ): Result<WholeResponse, RequestError> {
