Add the peer protocol: sealed CBOR messages over UDP and TCP

Datagrams carry heartbeats and gossip, frames of up to 1 MB carry member lists and tables. HMAC-SHA256 is checked before anything is parsed; site, recipient, version and a replay window per sender and incarnation follow. Every rejection is counted by reason. The key file holds up to three keys, so that instances accept each other at every stage of a rotation.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/gossip/Fact.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/gossip/Fact.kt
@@ -136,8 +136,9 @@
     public fun estimatedBytes(): Int =
         FIXED_BYTES + key.parts.sumOf { it.length + 2 } + if (this is Evidence) counters.size * LONG_BYTES else 0
 
-    private companion object {
-        const val FIXED_BYTES = 48
-        const val LONG_BYTES = 9
+    /** Holds the serializer. */
+    public companion object {
+        private const val FIXED_BYTES = 48
+        private const val LONG_BYTES = 9
     }
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/MemberUpdate.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/membership/MemberUpdate.kt
@@ -22,7 +22,8 @@
     /** Upper estimate of the encoded size, in bytes. */
     public fun estimatedBytes(): Int = FIXED_BYTES + address.id.value.length + address.host.length + address.failureDomain.value.length
 
-    private companion object {
-        const val FIXED_BYTES = 24
+    /** Holds the serializer. */
+    public companion object {
+        private const val FIXED_BYTES = 24
     }
 }
--- /dev/null
+++ b/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/MessageSeal.kt
@@ -0,0 +1,77 @@
+package io.buckthornlever.peer.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.buckthornlever.api.connection.PeerRejection
+import io.buckthornlever.api.process.InstanceId
+import java.security.MessageDigest
+import java.util.concurrent.atomic.AtomicLong
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/**
+ * Signs messages and checks received ones. The HMAC-SHA256 over the whole envelope is verified before anything is parsed.
+ *
+ * @param keys present keys; read for each message, so that a rotated key file takes effect at once
+ */
+internal class MessageSeal(
+    private val identity: PeerIdentity,
+    private val versions: ProtocolVersions,
+    private val keys: () -> PeerKeys,
+) {
+    private val sequence = AtomicLong()
+    private val window = ReplayWindow()
+
+    fun seal(recipient: InstanceId, payload: ByteArray): ByteArray {
+        val envelope = Envelope(
+            identity.site,
+            versions.versionFor(recipient),
+            versions.max,
+            identity.id,
+            recipient,
+            identity.incarnation,
+            sequence.incrementAndGet(),
+            payload,
+        )
+        val signed = PeerCbor.encode(Envelope.serializer(), envelope)
+        return signed + mac(keys().signing, signed, signed.size)
+    }
+
+    fun open(message: ByteArray, limit: Int): Result<Opened, PeerRejection> {
+        if (message.size > limit) return Err(PeerRejection.OVERSIZED)
+        val size = message.size - MAC_BYTES
+        if (size <= 0 || !isAuthentic(message, size)) return Err(PeerRejection.UNAUTHENTICATED)
+        val envelope = PeerCbor.decode(Envelope.serializer(), message.copyOf(size)) ?: return Err(PeerRejection.MALFORMED)
+        val problem = problem(envelope)
+        if (problem != null) return Err(problem)
+        versions.heard(envelope.sender, envelope.maxVersion)
+        return Ok(Opened(envelope.sender, envelope.payload))
+    }
+
+    private fun problem(envelope: Envelope): PeerRejection? =
+        when {
+            envelope.site != identity.site -> PeerRejection.FOREIGN_SITE
+            envelope.recipient != identity.id || envelope.sender == identity.id -> PeerRejection.MISDIRECTED
+            !versions.speaks(envelope.version) -> PeerRejection.UNSUPPORTED_VERSION
+            !window.accept(envelope.sender, envelope.incarnation, envelope.sequence) -> PeerRejection.REPLAYED
+            else -> null
+        }
+
+    private fun isAuthentic(message: ByteArray, size: Int): Boolean {
+        val given = message.copyOfRange(size, message.size)
+        return keys().accepted.any { MessageDigest.isEqual(mac(it, message, size), given) }
+    }
+
+    private fun mac(key: ByteArray, bytes: ByteArray, size: Int): ByteArray {
+        val mac = Mac.getInstance(ALGORITHM)
+        mac.init(SecretKeySpec(key, ALGORITHM))
+        mac.update(bytes, 0, size)
+        return mac.doFinal()
+    }
+
+    companion object {
+        const val MAC_BYTES = 32
+        private const val ALGORITHM = "HmacSHA256"
+    }
+}
--- /dev/null
+++ b/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/Opened.kt
@@ -0,0 +1,9 @@
+package io.buckthornlever.peer.process
+
+import io.buckthornlever.api.process.InstanceId
+
+/** Payload of a message that passed all checks. */
+internal class Opened(
+    val sender: InstanceId,
+    val payload: ByteArray,
+)
--- /dev/null
+++ b/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerKeys.kt
@@ -0,0 +1,43 @@
+package io.buckthornlever.peer.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.buckthornlever.api.process.Finding
+import java.util.HexFormat
+
+/**
+ * Keys that authenticate messages. [signing] signs; all of [accepted] verify, so that instances that read a rotated key file at
+ * different times understand each other.
+ */
+public class PeerKeys private constructor(
+    internal val signing: ByteArray,
+    internal val accepted: List<ByteArray>,
+) {
+    override fun toString(): String = "PeerKeys(accepted=${accepted.size})"
+
+    public companion object {
+        private const val MIN_BYTES = 32
+        private const val MAX_KEYS = 3
+
+        /** Reads a key file: one key per line in hexadecimal, the signing key first; lines that start with `#` are left out. */
+        public fun parse(text: String): Result<PeerKeys, List<Finding>> {
+            val lines = text.lines().map { it.trim() }.withIndex().filter { it.value.isNotEmpty() && !it.value.startsWith("#") }
+            val findings = lines.mapNotNull { (index, line) -> problem(line)?.let { Finding("line ${index + 1}", it) } }
+            return when {
+                findings.isNotEmpty() -> Err(findings)
+                lines.size !in 1..MAX_KEYS -> Err(listOf(Finding("keys", "has ${lines.size} keys; allowed are 1 to $MAX_KEYS")))
+                else -> lines.map { HexFormat.of().parseHex(it.value) }.let { Ok(PeerKeys(it.first(), it)) }
+            }
+        }
+
+        private fun problem(line: String): String? {
+            val bytes = try {
+                HexFormat.of().parseHex(line)
+            } catch (e: IllegalArgumentException) {
+                return "is not hexadecimal"
+            }
+            return if (bytes.size < MIN_BYTES) "has ${bytes.size} bytes; at least $MIN_BYTES are needed" else null
+        }
+    }
+}
--- /dev/null
+++ b/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerSockets.kt
@@ -0,0 +1,240 @@
+package io.buckthornlever.peer.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.mapBoth
+import com.github.michaelbull.result.onSuccess
+import io.buckthornlever.api.connection.PeerError
+import io.buckthornlever.api.connection.PeerRejection
+import io.buckthornlever.core.process.membership.ConnectionEvidence
+import io.buckthornlever.core.process.membership.MemberAddress
+import io.buckthornlever.core.process.membership.PeerMessage
+import io.buckthornlever.peer.connection.FrameStream
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.BoundDatagramSocket
+import io.ktor.network.sockets.Datagram
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.Buffer
+import kotlinx.io.readByteArray
+import java.io.IOException
+import java.net.ConnectException
+import java.time.Duration
+
+/**
+ * UDP and TCP sockets on one port number. Datagrams are sent by one coroutine from a bounded queue that drops the oldest entry when
+ * it is full. Each request opens a new connection, so that none stays open long enough to go silent unnoticed.
+ *
+ * @param host address to bind
+ * @param requestedPort port to bind; 0 for any free one
+ */
+public class PeerSockets(
+    private val host: String,
+    private val requestedPort: Int,
+    private val codec: PeerCodec,
+    private val counters: PeerCounters,
+    private val handler: PeerHandler,
+) : AutoCloseable {
+    private class Outgoing(
+        val to: MemberAddress,
+        val message: PeerMessage,
+    )
+
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val connections = Semaphore(MAX_CONNECTIONS)
+    private val outgoing = Channel<Outgoing>(SEND_QUEUE, BufferOverflow.DROP_OLDEST) { counters.sendQueueDrops.increment() }
+    private var udp: BoundDatagramSocket? = null
+    private var tcp: ServerSocket? = null
+
+    /** Bound port; 0 before [open]. */
+    public var port: Int = 0
+        private set
+
+    /** Binds both sockets without receiving, so that the port is known before the codec's identity is used. */
+    public fun open(): Unit = runBlocking {
+        repeat(BIND_TRIES) { attempt ->
+            val server = aSocket(selector).tcp().bind(host, requestedPort)
+            val bound = (server.localAddress as InetSocketAddress).port
+            try {
+                udp = aSocket(selector).udp().bind(InetSocketAddress(host, bound))
+                tcp = server
+                port = bound
+                return@runBlocking
+            } catch (e: IOException) {
+                server.close()
+                if (requestedPort != 0 || attempt == BIND_TRIES - 1) throw e
+            }
+        }
+    }
+
+    /** Starts to receive and send. */
+    public fun start() {
+        val datagrams = checkNotNull(udp) { "not open" }
+        val server = checkNotNull(tcp) { "not open" }
+        scope.launch { receive(datagrams) }
+        scope.launch { sendQueued(datagrams) }
+        scope.launch { accept(server) }
+    }
+
+    /** Queues a datagram. */
+    public fun send(to: MemberAddress, message: PeerMessage) {
+        outgoing.trySend(Outgoing(to, message))
+    }
+
+    /** Sends [request] over a new connection and waits for the answer. */
+    public fun request(to: MemberAddress, request: BulkMessage, timeout: Duration): Result<BulkMessage, PeerError> = runBlocking {
+        val frame = codec.frame(to.id, request) ?: return@runBlocking Err(PeerError.Rejected(PeerRejection.OVERSIZED))
+        var connected = false
+        val result = withTimeoutOrNull(timeout.toMillis()) {
+            try {
+                aSocket(selector).tcp().connect(InetSocketAddress(to.host, to.port)).use { socket ->
+                    connected = true
+                    exchange(socket, to, frame)
+                }
+            } catch (e: ConnectException) {
+                Err(PeerError.Refused)
+            } catch (e: IOException) {
+                Err(PeerError.Unreachable(e.message ?: e.javaClass.simpleName))
+            }
+        }
+        result ?: Err(if (connected) PeerError.Silent else PeerError.Unreachable("no connection within $timeout"))
+    }
+
+    /** Opens a new connection to [to] and asks whether the process answers. */
+    public fun test(to: MemberAddress, timeout: Duration): ConnectionEvidence =
+        request(to, BulkMessage.Check, timeout).mapBoth(
+            success = { ConnectionEvidence.ANSWERED },
+            failure = {
+                when (it) {
+                    PeerError.Refused -> ConnectionEvidence.REFUSED
+                    PeerError.Silent -> ConnectionEvidence.ACCEPTED_BUT_SILENT
+                    is PeerError.Rejected, is PeerError.Unreachable -> ConnectionEvidence.TIMED_OUT
+                }
+            },
+        )
+
+    override fun close() {
+        scope.cancel()
+        udp?.close()
+        tcp?.close()
+        selector.close()
+    }
+
+    private suspend fun exchange(socket: Socket, to: MemberAddress, frame: ByteArray): Result<BulkMessage, PeerError> {
+        val output = socket.openWriteChannel()
+        FrameStream.write(output, frame)
+        countFrame(sent = frame.size)
+        val answer = FrameStream.read(socket.openReadChannel()) ?: return Err(PeerError.Rejected(PeerRejection.OVERSIZED))
+        counters.bytesReceived.add(answer.size.toLong())
+        val opened = codec.openFrame(answer).get() ?: return Err(PeerError.Rejected(PeerRejection.MALFORMED))
+        return if (opened.from == to.id) Ok(opened.message) else Err(PeerError.Rejected(PeerRejection.MISDIRECTED))
+    }
+
+    private suspend fun receive(socket: BoundDatagramSocket) {
+        while (scope.isActive) {
+            val bytes = try {
+                socket.receive().packet.readByteArray()
+            } catch (e: IOException) {
+                continue
+            }
+            counters.datagramsReceived.increment()
+            counters.bytesReceived.add(bytes.size.toLong())
+            codec.openDatagram(bytes).onSuccess { handler.datagram(it.from, it.message) }
+        }
+    }
+
+    private suspend fun sendQueued(socket: BoundDatagramSocket) {
+        for (next in outgoing) {
+            val bytes = codec.datagram(next.to.id, next.message)
+            if (bytes == null) {
+                counters.reject(PeerRejection.OVERSIZED)
+                continue
+            }
+            try {
+                socket.send(Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(next.to.host, next.to.port)))
+                counters.datagramsSent.increment()
+                counters.bytesSent.add(bytes.size.toLong())
+            } catch (e: IOException) {
+                counters.sendQueueDrops.increment()
+            }
+        }
+    }
+
+    private suspend fun accept(server: ServerSocket) {
+        while (scope.isActive) {
+            val socket = try {
+                server.accept()
+            } catch (e: IOException) {
+                continue
+            }
+            if (!connections.tryAcquire()) {
+                socket.close()
+                continue
+            }
+            scope.launch {
+                try {
+                    withTimeoutOrNull(SERVE_TIMEOUT_MILLIS) { serve(socket) }
+                } catch (e: CancellationException) {
+                    throw e
+                } catch (e: Exception) {
+                    // A peer that closes or breaks its connection concerns only that connection.
+                    counters.connectionErrors.increment()
+                } finally {
+                    socket.close()
+                    connections.release()
+                }
+            }
+        }
+    }
+
+    private suspend fun serve(socket: Socket) {
+        val input = socket.openReadChannel()
+        val output = socket.openWriteChannel()
+        val frame = FrameStream.read(input)
+        if (frame == null) {
+            counters.reject(PeerRejection.OVERSIZED)
+            return
+        }
+        counters.bytesReceived.add(frame.size.toLong())
+        val request = codec.openFrame(frame).get() ?: return
+        val answer = handler.answer(request.from, request.message)
+        val bytes = codec.frame(request.from, answer) ?: codec.frame(request.from, BulkMessage.Declined("answer exceeds the frame limit"))
+        if (bytes != null) {
+            FrameStream.write(output, bytes)
+            countFrame(sent = bytes.size)
+        }
+    }
+
+    private fun countFrame(sent: Int) {
+        counters.framesSent.increment()
+        counters.bytesSent.add(sent.toLong())
+    }
+
+    private companion object {
+        const val SEND_QUEUE = 4_096
+        const val BIND_TRIES = 16
+        const val SERVE_TIMEOUT_MILLIS = 5_000L
+
+        /** Bounds the memory for frames of 1 MB. */
+        const val MAX_CONNECTIONS = 32
+    }
+}
