--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/ControlListener.kt
@@ -0,0 +1,38 @@
+package io.buckthornlever.daemon.process.control
+
+import io.buckthornlever.api.process.Configuration
+import io.buckthornlever.api.process.Finding
+import io.buckthornlever.core.process.configuration.ConfigurationSource
+import io.buckthornlever.core.process.gossip.Fact
+import io.buckthornlever.core.process.lease.LeaseLossReason
+import io.buckthornlever.core.process.membership.MemberState
+import io.buckthornlever.core.process.membership.MemberUpdate
+import io.buckthornlever.core.process.membership.TableRevisions
+import java.time.Duration
+
+/** Receives decisions of [ControlPlane] on its control thread; implementations return soon. */
+public interface ControlListener {
+    /** [configuration] is in effect from now on. */
+    public fun activated(configuration: Configuration, source: ConfigurationSource) {}
+
+    /** Tables up to [revisions] were refused. */
+    public fun refused(revisions: TableRevisions, findings: List<Finding>) {}
+
+    /** The state of a member changed; [previous] is null for a new one. */
+    public fun memberChanged(update: MemberUpdate, previous: MemberState?) {}
+
+    /** A fact is new or grew. */
+    public fun factChanged(fact: Fact) {}
+
+    /** This process did not run for [length]. */
+    public fun paused(length: Duration) {}
+
+    /** The store answers again, or no longer. */
+    public fun storeAvailable(available: Boolean) {}
+
+    /** This instance holds the lease [name] with [fencing]. */
+    public fun leaseGained(name: String, fencing: Long) {}
+
+    /** This instance no longer holds the lease [name]. */
+    public fun leaseLost(name: String, reason: LeaseLossReason) {}
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/ControlLoop.kt
@@ -0,0 +1,78 @@
+package io.buckthornlever.daemon.process.control
+
+import io.buckthornlever.api.process.Clock
+import io.buckthornlever.core.process.membership.Moment
+import org.jctools.queues.MpscBlockingConsumerArrayQueue
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.LongAdder
+
+/** The only thread that changes control state. Other threads hand it actions through a bounded queue. */
+internal class ControlLoop(
+    name: String,
+    private val clock: Clock,
+    private val period: Duration,
+    private val tick: (Moment) -> Unit,
+    private val failed: (Throwable) -> Unit,
+) : AutoCloseable {
+    private val queue = MpscBlockingConsumerArrayQueue<(Moment) -> Unit>(CAPACITY)
+    private val thread = Thread(::run, name).apply { isDaemon = true }
+    private val drops = LongAdder()
+
+    @Volatile
+    private var stopped = false
+
+    /** Actions refused because the queue was full. */
+    val dropped: Long get() = drops.sum()
+
+    fun start() = thread.start()
+
+    /** Hands over [action]; false and counted when the queue is full. */
+    fun post(action: (Moment) -> Unit): Boolean {
+        val accepted = queue.offer(action)
+        if (!accepted) drops.increment()
+        return accepted
+    }
+
+    /** Runs [action] on the control thread and waits for its result; null when it does not come in time. */
+    fun <T : Any> call(action: (Moment) -> T): T? {
+        val future = CompletableFuture<T>()
+        val posted = post { now -> future.complete(action(now)) }
+        return if (posted) future.completeOnTimeout(null, CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).get() else null
+    }
+
+    override fun close() {
+        stopped = true
+        queue.offer { }
+        thread.join(CALL_TIMEOUT_MILLIS)
+    }
+
+    private fun run() {
+        var next = clock.monotonicNanos()
+        while (!stopped) {
+            val wait = next - clock.monotonicNanos()
+            val action = if (wait > 0) queue.poll(wait, TimeUnit.NANOSECONDS) else null
+            if (action != null) guarded(action)
+            if (clock.monotonicNanos() >= next) {
+                next = clock.monotonicNanos() + period.toNanos()
+                guarded(tick)
+                queue.drain({ guarded(it) }, BATCH)
+            }
+        }
+    }
+
+    private fun guarded(action: (Moment) -> Unit) {
+        try {
+            action(Moment.of(clock))
+        } catch (e: RuntimeException) {
+            failed(e)
+        }
+    }
+
+    private companion object {
+        const val CAPACITY = 8_192
+        const val BATCH = 1_024
+        const val CALL_TIMEOUT_MILLIS = 2_000L
+    }
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/ControlPlane.kt
@@ -0,0 +1,351 @@
+package io.buckthornlever.daemon.process.control
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.onSuccess
+import io.buckthornlever.api.process.Clock
+import io.buckthornlever.api.process.Configuration
+import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.api.process.InstanceList
+import io.buckthornlever.api.process.ObjectListing
+import io.buckthornlever.api.process.ObjectStore
+import io.buckthornlever.api.process.StoreError
+import io.buckthornlever.core.process.configuration.ConfigurationCommand
+import io.buckthornlever.core.process.configuration.ConfigurationEvent
+import io.buckthornlever.core.process.configuration.ConfigurationSource
+import io.buckthornlever.core.process.configuration.ConfigurationSync
+import io.buckthornlever.core.process.configuration.ConfigurationValidator
+import io.buckthornlever.core.process.configuration.EffectiveWait
+import io.buckthornlever.core.process.gossip.Fact
+import io.buckthornlever.core.process.lease.LeaseEvent
+import io.buckthornlever.core.process.lease.LeaseMachine
+import io.buckthornlever.core.process.lease.LeasePermit
+import io.buckthornlever.core.process.lease.LeaseState
+import io.buckthornlever.core.process.membership.MemberAddress
+import io.buckthornlever.core.process.membership.Membership
+import io.buckthornlever.core.process.membership.MembershipCommand
+import io.buckthornlever.core.process.membership.MembershipEvent
+import io.buckthornlever.core.process.membership.Moment
+import io.buckthornlever.core.process.membership.PeerMessage
+import io.buckthornlever.core.process.membership.TableRevisions
+import io.buckthornlever.peer.process.BulkMessage
+import io.buckthornlever.peer.process.PeerCodec
+import io.buckthornlever.peer.process.PeerCounters
+import io.buckthornlever.peer.process.PeerHandler
+import io.buckthornlever.peer.process.PeerIdentity
+import io.buckthornlever.peer.process.PeerKeys
+import io.buckthornlever.peer.process.PeerSockets
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/**
+ * Membership, configuration and leases of one entry instance with their sockets and threads. All decisions are taken by state machines
+ * of the core on one control thread; store and peer calls run on worker threads.
+ *
+ * @param keys accepted peer keys; read for each message
+ * @param failed receives unexpected errors of the control thread
+ */
+public class ControlPlane(
+    private val settings: ControlSettings,
+    keys: () -> PeerKeys,
+    private val store: ObjectStore,
+    private val instances: InstanceList?,
+    private val clock: Clock,
+    private val listener: ControlListener,
+    failed: (Throwable) -> Unit,
+) : AutoCloseable, PeerHandler {
+    private class Wait(
+        val wait: EffectiveWait,
+        val result: CompletableFuture<List<InstanceId>>,
+    )
+
+    private val incarnation = clock.now().toEpochMilli()
+
+    /** Message counts of the peer protocol. */
+    public val counters: PeerCounters = PeerCounters()
+    private val codec = PeerCodec(PeerIdentity(settings.site, settings.id, incarnation), counters, keys = keys)
+    private val sockets = PeerSockets(settings.host, settings.port, codec, counters, this)
+    private val random = Random(settings.seed)
+    private val workers = Executors.newFixedThreadPool(WORKERS) { Thread(it, "${settings.id}-control-worker").apply { isDaemon = true } }
+    private val loop = ControlLoop("${settings.id}-control", clock, settings.membership.tick, ::tick, failed)
+    private val leases = ConcurrentHashMap<String, LeaseDriver>()
+    private val leaseMachine = LeaseMachine(settings.lease)
+    private val waits = ArrayList<Wait>()
+    private val opaqueHandlers = ConcurrentHashMap<String, (InstanceId, ByteArray) -> ByteArray>()
+    private lateinit var membership: Membership
+    private lateinit var sync: ConfigurationSync
+    private var nextList = Long.MIN_VALUE
+    private var storeWasDown = false
+    private var syncedLive = emptyList<MemberAddress>()
+
+    /** Own address with the bound port; valid after [start]. */
+    public lateinit var address: MemberAddress
+        private set
+
+    /** Live members including this instance, sorted by identity; may be read on any thread. */
+    @Volatile
+    public var live: List<MemberAddress> = emptyList()
+        private set
+
+    /** Binds the sockets and starts all threads. */
+    public fun start() {
+        sockets.open()
+        address = MemberAddress(settings.id, settings.host, sockets.port, settings.failureDomain)
+        membership = Membership(address, incarnation, settings.membership, random)
+        sync = ConfigurationSync(address, settings.configuration, ConfigurationValidator(), random, settings.initial)
+        live = listOf(address)
+        loop.post { now ->
+            if (sync.configuration != Configuration()) activated(ConfigurationSource.SETTINGS, now)
+            liveChanged(now)
+        }
+        loop.start()
+        sockets.start()
+    }
+
+    /** Tells the other members that this instance leaves. */
+    public fun leave() {
+        loop.call { now -> membership(MembershipEvent.LeaveRequested, now) }
+    }
+
+    /** Takes part in the lease [name]; [permit] tells whether this instance holds it. */
+    public fun joinLease(name: String) {
+        leases.computeIfAbsent(name) {
+            LeaseDriver(name, LeaseState(settings.id, incarnation), leaseMachine, store, clock, listener, ::work) { loop.post(it) }
+        }
+    }
+
+    /** Permission for one order under the lease [name] now; null when this instance may not order. Safe on any thread. */
+    public fun permit(name: String, honoursFencing: Boolean): LeasePermit? = leases[name]?.permit(honoursFencing)
+
+    /** Gives the lease [name] up; all orders under it have ended. */
+    public fun resign(name: String) {
+        loop.call { now -> leases[name]?.handle(LeaseEvent.ResignRequested, now) ?: Unit }
+    }
+
+    /** Tells all members [fact]. */
+    public fun publish(fact: Fact) {
+        loop.post { now -> membership(MembershipEvent.Publish(fact), now) }
+    }
+
+    /** Unexpired facts that this instance knows. */
+    public fun facts(): List<Fact> = loop.call { membership.facts().all() }.orEmpty()
+
+    /** Takes over tables that an operator has just stored through this instance. */
+    public fun offer(tables: Configuration) {
+        loop.call { now -> configuration(ConfigurationEvent.Offered(tables, ConfigurationSource.STORE), now) }
+    }
+
+    /** Reports that an open connection to [peer] makes no progress. */
+    public fun connectionSilent(peer: InstanceId) {
+        loop.post { now -> membership(MembershipEvent.ConnectionSilent(peer), now) }
+    }
+
+    /** Waits until [target] is in effect on all live members; returns those that lag at the end, none when all have it. */
+    public fun awaitEffective(target: TableRevisions, timeout: Duration): List<InstanceId> {
+        val result = CompletableFuture<List<InstanceId>>()
+        val deadline = clock.monotonicNanos() + timeout.toNanos()
+        loop.post { waits.add(Wait(EffectiveWait(target, deadline), result)) }
+        return result.completeOnTimeout(listOf(settings.id), timeout.toMillis() + GRACE_MILLIS, TimeUnit.MILLISECONDS).get()
+    }
+
+    /** Handles messages of [kind] that other instances send with [request]; runs on a peer thread. */
+    public fun handleOpaque(kind: String, handler: (InstanceId, ByteArray) -> ByteArray) {
+        opaqueHandlers[kind] = handler
+    }
+
+    /** Sends [body] to [to] and waits for the answer of its handler; null when there is none. */
+    public fun request(to: MemberAddress, kind: String, body: ByteArray, timeout: Duration): ByteArray? =
+        sockets.request(to, BulkMessage.Opaque(kind, body), timeout).fold(
+            success = { (it as? BulkMessage.Opaque)?.body },
+            failure = { null },
+        )
+
+    /** State at this moment; null when the control thread does not answer. */
+    public fun snapshot(): ControlSnapshot? =
+        loop.call { now ->
+            ControlSnapshot(
+                own = membership.own,
+                members = membership.view(now),
+                revisions = sync.revisions,
+                refused = sync.refusedRevisions,
+                watchesStore = sync.isWatcher,
+                storeIsDown = sync.storeIsDown,
+                facts = membership.facts().size,
+                counters = membership.statistics,
+                droppedEvents = loop.dropped,
+            )
+        }
+
+    override fun close() {
+        loop.close()
+        workers.shutdownNow()
+        sockets.close()
+    }
+
+    override fun datagram(from: InstanceId, message: PeerMessage) {
+        loop.post { now -> membership(MembershipEvent.Received(from, message), now) }
+    }
+
+    override fun answer(from: InstanceId, request: BulkMessage): BulkMessage =
+        when (request) {
+            is BulkMessage.Check -> loop.call { BulkMessage.Alive }
+            is BulkMessage.MemberPull -> loop.call {
+                BulkMessage.MemberList(membership.allUpdates(), membership.facts().all().take(MAX_FACTS))
+            }
+            is BulkMessage.ConfigurationPull -> loop.call { BulkMessage.Tables(sync.deltaSince(request.since)) }?.let { fitted(from, it) }
+            is BulkMessage.Opaque -> opaqueHandlers[request.kind]?.let { BulkMessage.Opaque(request.kind, it(from, request.body)) }
+            else -> null
+        } ?: BulkMessage.Declined("not served")
+
+    /** Leaves tables out until the answer fits in a frame; the requester pulls the rest later. */
+    private fun fitted(to: InstanceId, tables: BulkMessage.Tables): BulkMessage {
+        val delta = tables.delta
+        val choices = listOf(delta, delta.copy(accounts = null), delta.copy(accounts = null, routes = null), delta.copy(pools = null))
+        return choices.map { BulkMessage.Tables(it) }.firstOrNull { codec.frame(to, it) != null }
+            ?: BulkMessage.Declined("table exceeds the frame limit")
+    }
+
+    private fun tick(now: Moment) {
+        membership(MembershipEvent.Tick, now)
+        configuration(ConfigurationEvent.Tick, now)
+        leases.values.forEach { it.handle(LeaseEvent.Tick, now) }
+        stepWaits(now)
+        readInstanceList(now)
+    }
+
+    private fun stepWaits(now: Moment) {
+        val over = waits.filter { waiting ->
+            val step = waiting.wait.step(membership, settings.id, sync.revisions, now)
+            step.commands.forEach { execute(it, now) }
+            if (step.isOver) waiting.result.complete(step.lagging)
+            step.isOver
+        }
+        waits.removeAll(over)
+    }
+
+    private fun readInstanceList(now: Moment) {
+        val list = instances ?: return
+        if (now.nanos < nextList) return
+        nextList = now.nanos + settings.listEvery.toNanos()
+        work {
+            list.instances().onSuccess { listed ->
+                val seeds = listed.filter { it.peerPort > 0 && it.role == ENTRY_ROLE }
+                    .map { MemberAddress(it.id, it.address, it.peerPort, it.failureDomain) }
+                loop.post { later -> membership(MembershipEvent.SeedsListed(seeds), later) }
+            }
+        }
+    }
+
+    private fun membership(event: MembershipEvent, now: Moment) {
+        var changed = false
+        for (command in membership.handle(event, now)) {
+            changed = changed || (command is MembershipCommand.MemberChanged && command.previous?.isLive != command.update.state.isLive)
+            execute(command, now)
+        }
+        if (changed) liveChanged(now)
+    }
+
+    private fun liveChanged(now: Moment) {
+        live = (membership.live() + address).sortedBy { it.id }
+        configuration(ConfigurationEvent.LiveChanged(live), now)
+    }
+
+    private fun execute(command: MembershipCommand, now: Moment) {
+        when (command) {
+            is MembershipCommand.Send -> sockets.send(command.to, command.message)
+            is MembershipCommand.PullMembers -> work { pullMembers(command.from) }
+            is MembershipCommand.TestConnection -> work {
+                val evidence = sockets.test(command.to, TEST_TIMEOUT)
+                loop.post { later -> membership(MembershipEvent.ConnectionTested(command.to.id, evidence), later) }
+            }
+
+            is MembershipCommand.MemberChanged -> listener.memberChanged(command.update, command.previous)
+            is MembershipCommand.FactChanged -> listener.factChanged(command.fact)
+            is MembershipCommand.RevisionsHeard -> configuration(ConfigurationEvent.RevisionsHeard(command.from, command.revisions), now)
+            is MembershipCommand.PauseDetected -> listener.paused(command.length)
+        }
+    }
+
+    private fun pullMembers(from: MemberAddress) {
+        sockets.request(from, BulkMessage.MemberPull, PULL_TIMEOUT).onSuccess { answer ->
+            if (answer is BulkMessage.MemberList) {
+                loop.post { now -> membership(MembershipEvent.MembersReceived(answer.updates, answer.facts), now) }
+            }
+        }
+    }
+
+    private fun configuration(event: ConfigurationEvent, now: Moment) {
+        sync.handle(event, now).forEach { execute(it, now) }
+    }
+
+    private fun execute(command: ConfigurationCommand, now: Moment) {
+        when (command) {
+            ConfigurationCommand.ListTables -> work { report(store.list(StoreTables.PREFIX)) }
+            is ConfigurationCommand.WatchTables -> work { report(store.watch(StoreTables.PREFIX, command.since, WATCH_WAIT)) }
+            is ConfigurationCommand.PullTables -> work { pullTables(command.from, command.since) }
+            is ConfigurationCommand.Activate -> activated(command.source, now)
+            is ConfigurationCommand.Refused -> listener.refused(command.revisions, command.findings)
+        }
+    }
+
+    private fun activated(source: ConfigurationSource, now: Moment) {
+        listener.activated(sync.configuration, source)
+        membership(MembershipEvent.RevisionsChanged(sync.revisions), now)
+    }
+
+    private fun pullTables(from: MemberAddress, since: TableRevisions) {
+        val answer = sockets.request(from, BulkMessage.ConfigurationPull(since), PULL_TIMEOUT).fold(success = { it }, failure = { null })
+        val event = if (answer is BulkMessage.Tables) {
+            ConfigurationEvent.DeltaReceived(from.id, answer.delta)
+        } else {
+            ConfigurationEvent.PullFailed(from.id)
+        }
+        loop.post { now -> configuration(event, now) }
+    }
+
+    private fun report(
+        result: Result<ObjectListing, StoreError>,
+    ) {
+        val event = result.fold(
+            success = { listing ->
+                val tables = StoreTables.read(listing.objects)
+                if (tables.findings.isNotEmpty()) loop.post { listener.refused(TableRevisions(), tables.findings) }
+                ConfigurationEvent.StoreAnswered(listing.revision, tables.configuration)
+            },
+            failure = { ConfigurationEvent.StoreFailed },
+        )
+        loop.post { now ->
+            configuration(event, now)
+            if (sync.storeIsDown != storeWasDown) {
+                storeWasDown = sync.storeIsDown
+                listener.storeAvailable(!storeWasDown)
+            }
+        }
+    }
+
+    private fun work(task: () -> Unit) {
+        try {
+            workers.execute(task)
+        } catch (e: RejectedExecutionException) {
+            // Only after close; the result no longer matters.
+            counters.connectionErrors.increment()
+        }
+    }
+
+    private companion object {
+        const val ENTRY_ROLE = "entry"
+        const val MAX_FACTS = 5_000
+        const val GRACE_MILLIS = 500L
+
+        /** One worker may wait for a watch; the others serve pulls, connection tests and leases. */
+        const val WORKERS = 6
+        val PULL_TIMEOUT: Duration = Duration.ofMillis(1_500)
+        val TEST_TIMEOUT: Duration = Duration.ofSeconds(1)
+        val WATCH_WAIT: Duration = Duration.ofSeconds(10)
+    }
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/ControlSettings.kt
@@ -0,0 +1,31 @@
+package io.buckthornlever.daemon.process.control
+
+import io.buckthornlever.api.process.Configuration
+import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.core.process.configuration.ConfigurationSettings
+import io.buckthornlever.core.process.lease.LeaseSettings
+import io.buckthornlever.core.process.membership.MembershipSettings
+import java.time.Duration
+
+/**
+ * Settings of [ControlPlane].
+ *
+ * @property port port of the protocol between entry instances; 0 for any free one
+ * @property initial tables of the settings file
+ * @property seed seed of all random choices
+ * @property listEvery interval between reads of the platform's instance list
+ */
+public data class ControlSettings(
+    val site: String,
+    val id: InstanceId,
+    val failureDomain: FailureDomain,
+    val host: String,
+    val port: Int = 0,
+    val initial: Configuration = Configuration(),
+    val seed: Long = 0,
+    val membership: MembershipSettings = MembershipSettings(),
+    val configuration: ConfigurationSettings = ConfigurationSettings(),
+    val lease: LeaseSettings = LeaseSettings(),
+    val listEvery: Duration = Duration.ofSeconds(5),
+)
--- a/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerKeys.kt
+++ b/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerKeys.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.buckthornlever.api.process.Finding
-import java.util.HexFormat
 
 /**
  * Keys that authenticate messages. [signing] signs; all of [accepted] verify, so that instances that read a rotated key file at
@@ -17,27 +16,21 @@
     override fun toString(): String = "PeerKeys(accepted=${accepted.size})"
 
     public companion object {
-        private const val MIN_BYTES = 32
+        private const val MIN_CHARACTERS = 32
         private const val MAX_KEYS = 3
 
-        /** Reads a key file: one key per line in hexadecimal, the signing key first; lines that start with `#` are left out. */
+        /** Reads a key file: one key of at least 32 characters per line, the signing key first; lines that start with `#` are left out. */
         public fun parse(text: String): Result<PeerKeys, List<Finding>> {
             val lines = text.lines().map { it.trim() }.withIndex().filter { it.value.isNotEmpty() && !it.value.startsWith("#") }
             val findings = lines.mapNotNull { (index, line) -> problem(line)?.let { Finding("line ${index + 1}", it) } }
             return when {
                 findings.isNotEmpty() -> Err(findings)
                 lines.size !in 1..MAX_KEYS -> Err(listOf(Finding("keys", "has ${lines.size} keys; allowed are 1 to $MAX_KEYS")))
-                else -> lines.map { HexFormat.of().parseHex(it.value) }.let { Ok(PeerKeys(it.first(), it)) }
+                else -> lines.map { it.value.toByteArray() }.let { Ok(PeerKeys(it.first(), it)) }
             }
         }
 
-        private fun problem(line: String): String? {
-            val bytes = try {
-                HexFormat.of().parseHex(line)
-            } catch (e: IllegalArgumentException) {
-                return "is not hexadecimal"
-            }
-            return if (bytes.size < MIN_BYTES) "has ${bytes.size} bytes; at least $MIN_BYTES are needed" else null
-        }
+        private fun problem(line: String): String? =
+            if (line.length < MIN_CHARACTERS) "has ${line.length} characters; at least $MIN_CHARACTERS are needed" else null
     }
 }
