Run membership, configuration from peers and leases in the daemon

The store watcher of each daemon gives way to the control plane: two instances per failure domain watch, the others pull from peers. Operators' changes are validated against the tables in effect; /admin/effective waits until revisions are in effect everywhere and names who lags. Tested with three daemons in one JVM: a change reaches all, tables survive an outage with all daemons restarted, a stopped daemon is left and a killed one dead, the control lease moves on.

--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.bench.process
 
+import io.buckthornlever.bench.process.control.ConfigurationExperiment
 import io.buckthornlever.bench.process.control.MembershipExperiment
 import io.buckthornlever.bench.request.ForwardExperiment
 
@@ -8,6 +9,7 @@
     val all: List<Experiment> = listOf(
         ForwardExperiment(),
         MembershipExperiment(),
+        ConfigurationExperiment(),
     )
 
     /** The experiment called [name], or null. */
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/ConfigurationEditor.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/ConfigurationEditor.kt
@@ -8,6 +8,8 @@
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.mapError
+import io.buckthornlever.api.process.Configuration
+import io.buckthornlever.api.process.ConfigurationError
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.process.ObjectKey
 import io.buckthornlever.api.process.ObjectStore
@@ -16,13 +18,18 @@
 import io.buckthornlever.api.process.StoreError
 import io.buckthornlever.api.process.StoredObject
 import io.buckthornlever.core.process.TableCodec
+import io.buckthornlever.core.process.configuration.ConfigurationValidator
+import io.buckthornlever.daemon.process.control.StoreTables
 
 /** Changes the stored tables on behalf of operators. A change counts as accepted once the store has confirmed it. */
 internal class ConfigurationEditor(
     private val store: ObjectStore,
     private val configuration: ConfigurationHolder,
     private val log: EventLog,
+    private val accepted: (Configuration) -> Unit,
 ) {
+    private val validator = ConfigurationValidator()
+
     /** Replaces the table at [key] if its stored version is [expected]; creates it when [expected] is null. */
     fun replace(
         key: ObjectKey,
@@ -34,7 +41,7 @@
         return written
             .mapBoth(success = { Ok(it) }, failure = { settle(key, text, it) })
             .map { version ->
-                configuration.offer(StoredObject(key, version, text))
+                accepted(StoreTables.read(listOf(StoredObject(key, version, text))).configuration)
                 log.write(LogEvent.CONFIGURATION_CHANGED_BY_OPERATOR, "table" to key, "revision" to version.value)
                 version
             }
@@ -69,15 +76,19 @@
         key: ObjectKey,
         text: String,
     ): EditError? {
-        val parsed =
+        val current = configuration.get()
+        val changed =
             when (key) {
-                ObjectKey.ROUTES -> TableCodec.routes(text, 0)
-                ObjectKey.POOLS -> TableCodec.pools(text, 0)
-                else -> TableCodec.accounts(text, 0)
+                ObjectKey.ROUTES -> TableCodec.routes(text, current.routes.revision).map { current.copy(routes = it) }
+                ObjectKey.POOLS -> TableCodec.pools(text, current.pools.revision).map { current.copy(pools = it) }
+                else -> TableCodec.accounts(text, current.accounts.revision).map { current.copy(accounts = it) }
             }
-        return parsed.mapBoth(success = { null }, failure = { EditError.Refused(it) })
+        return changed.mapBoth(success = ::invalid, failure = { EditError.Refused(it) })
     }
 
+    private fun invalid(changed: Configuration): EditError? =
+        validator.check(changed).takeIf { it.isNotEmpty() }?.let { EditError.Refused(ConfigurationError.Invalid(it)) }
+
     // A lost answer is settled by reading back: the text is there only if the write took effect.
     private fun settle(
         key: ObjectKey,
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
@@ -5,6 +5,12 @@
 import io.buckthornlever.core.request.LeastLoadedSelector
 import io.buckthornlever.daemon.connection.LoadPoller
 import io.buckthornlever.daemon.connection.UpstreamRegistry
+import io.buckthornlever.daemon.process.control.ControlDump
+import io.buckthornlever.daemon.process.control.ControlPlane
+import io.buckthornlever.daemon.process.control.ControlReporter
+import io.buckthornlever.daemon.process.control.ControlSettings
+import io.buckthornlever.daemon.process.control.FallbackTables
+import io.buckthornlever.daemon.process.control.PeerKeyFile
 import io.buckthornlever.daemon.request.AttemptRunner
 import io.buckthornlever.daemon.request.CallerServer
 import io.buckthornlever.daemon.request.FixedAdmissionGate
@@ -12,6 +18,7 @@
 import io.buckthornlever.daemon.request.PlainRelay
 import io.buckthornlever.daemon.request.RequestPipeline
 import io.buckthornlever.platform.connection.HttpUpstreamClient
+import io.buckthornlever.platform.process.HttpInstanceList
 import io.buckthornlever.platform.process.HttpObjectStore
 import io.buckthornlever.platform.process.SystemClock
 import java.nio.file.Path
@@ -45,7 +52,20 @@
             metrics = metrics,
             log = log,
         )
-    private val watcher = StoreWatcher(store, configuration, log, random)
+    private val peerKeys =
+        PeerKeyFile(Path.of(settings.keys.peerKeyFile)) { log.write(LogEvent.PEER_KEYS_REFUSED, "error" to it) }
+
+    /** Membership, configuration and leases of this instance. */
+    public val control: ControlPlane =
+        ControlPlane(
+            settings = controlSettings(random),
+            keys = peerKeys::get,
+            store = store,
+            instances = HttpInstanceList(settings.platform.instanceListUrl),
+            clock = clock,
+            listener = ControlReporter(configuration, log),
+            failed = { log.failure(LogEvent.INTERNAL_ERROR, it) },
+        )
     private val poller = LoadPoller(client, configuration, upstreams, log)
     private val callers = CallerServer(settings, pipeline)
     private val operators =
@@ -53,7 +73,8 @@
             settings = settings,
             token = KeyFile(Path.of(settings.keys.operatorTokenFile)),
             configuration = configuration,
-            editor = ConfigurationEditor(store, configuration, log),
+            editor = ConfigurationEditor(store, configuration, log, control::offer),
+            control = control,
             metrics = metrics,
             ready = ::ready,
             dump = ::dump,
@@ -65,6 +86,9 @@
     /** Base URL of the operators' interface. */
     public val operatorUrl: String get() = "http://${settings.listen.address}:${operators.port}"
 
+    /** Port of the protocol between entry instances; valid after [start]. */
+    public val peerPort: Int get() = control.address.port
+
     /** The configuration in effect. */
     public val effectiveConfiguration: Configuration get() = configuration.get()
 
@@ -75,7 +99,9 @@
     public fun start() {
         operators.start()
         callers.start()
-        watcher.start()
+        peerKeys.get()
+        control.start()
+        control.joinLease(CONTROL_LEASE)
         poller.start()
         log.write(LogEvent.STARTED, "callers" to callerUrl, "operators" to operatorUrl, "site" to settings.site)
     }
@@ -84,15 +110,28 @@
     override fun close() {
         log.write(LogEvent.SHUTDOWN_STARTED, "open" to pipeline.openRequests)
         pipeline.closing = true
+        control.leave()
         awaitOpenRequests(settings.shutdownGrace)
         if (pipeline.openRequests > 0) log.write(LogEvent.SHUTDOWN_GRACE_OVER, "open" to pipeline.openRequests)
-        watcher.close()
+        control.resign(CONTROL_LEASE)
+        control.close()
         poller.close()
         callers.close()
         operators.close()
         log.write(LogEvent.STOPPED)
     }
 
+    private fun controlSettings(random: RandomGenerator): ControlSettings =
+        ControlSettings(
+            site = settings.site,
+            id = settings.instance.id,
+            failureDomain = settings.instance.failureDomain,
+            host = settings.listen.address,
+            port = settings.listen.peerPort,
+            initial = FallbackTables.read(settings.fallbackConfigurationFile) { log.write(LogEvent.CONFIGURATION_REFUSED, "error" to it) },
+            seed = random.nextLong(),
+        )
+
     private fun awaitOpenRequests(grace: Duration) {
         val end = clock.monotonicNanos() + grace.toNanos()
         while (pipeline.openRequests > 0 && clock.monotonicNanos() < end) {
@@ -113,6 +152,9 @@
             poolsRevision = current.pools.revision,
             accountsRevision = current.accounts.revision,
             domainsOut = current.pools.domainsOut.map { it.value },
+            control = control.snapshot()?.let {
+                ControlDump.of(it, control.counters, control.permit(CONTROL_LEASE, honoursFencing = true)?.fencing)
+            },
             upstreams = current.pools.pools.flatMap { it.upstreams }.take(MAX_DUMPED_UPSTREAMS).map { spec ->
                 val status = upstreams.statusOf(spec)
                 StateDump.UpstreamDump(
@@ -130,8 +172,11 @@
         )
     }
 
-    private companion object {
-        const val DRAIN_CHECK_MILLIS = 20L
-        const val MAX_DUMPED_UPSTREAMS = 200
+    public companion object {
+        /** Name of the lease under which one instance decides on moves and capacity. */
+        public const val CONTROL_LEASE: String = "control"
+
+        private const val DRAIN_CHECK_MILLIS = 20L
+        private const val MAX_DUMPED_UPSTREAMS = 200
     }
 }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/LogEvent.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/LogEvent.kt
@@ -22,5 +22,10 @@
     REQUEST_FAILED("BL-1301", Level.WARN, "request failed"),
     STREAM_RESUMED("BL-1302", Level.INFO, "stream resumed on another upstream"),
     FOREIGN_CHUNK("BL-1303", Level.WARN, "dropped a chunk that belongs to another request"),
+    MEMBER_CHANGED("BL-1401", Level.INFO, "state of a member changed"),
+    PAUSE_DETECTED("BL-1402", Level.WARN, "this process did not run for a while"),
+    LEASE_GAINED("BL-1403", Level.INFO, "lease gained"),
+    LEASE_LOST("BL-1404", Level.INFO, "lease lost"),
+    PEER_KEYS_REFUSED("BL-1405", Level.ERROR, "peer key file refused; the previous keys stay in effect"),
     INTERNAL_ERROR("BL-1901", Level.ERROR, "unexpected error"),
 }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/OperatorServer.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/OperatorServer.kt
@@ -8,14 +8,18 @@
 import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.process.StoreError
 import io.buckthornlever.core.process.TableCodec
+import io.buckthornlever.core.process.membership.TableRevisions
+import io.buckthornlever.daemon.process.control.ControlPlane
 import io.javalin.Javalin
 import io.javalin.http.Context
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.add
 import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.time.Duration
 
 /** HTTP server for operators: health, metrics, state dump and changes of the tables. */
 internal class OperatorServer(
@@ -23,6 +27,7 @@
     private val token: KeyFile,
     private val configuration: ConfigurationHolder,
     private val editor: ConfigurationEditor,
+    private val control: ControlPlane,
     private val metrics: DaemonMetrics,
     private val ready: () -> Boolean,
     private val dump: () -> StateDump,
@@ -39,6 +44,7 @@
             config.routes.get("/admin/status") { ctx -> authorized(ctx) { ctx.json(JSON.encodeToString(StateDump.serializer(), dump())) } }
             config.routes.get("/admin/config/{table}") { ctx -> authorized(ctx) { read(ctx) } }
             config.routes.put("/admin/config/{table}") { ctx -> authorized(ctx) { write(ctx) } }
+            config.routes.get("/admin/effective") { ctx -> authorized(ctx) { awaitEffective(ctx) } }
             config.routes.post("/admin/domains/{domain}/take-out") { ctx -> authorized(ctx) { setDomain(ctx, out = true) } }
             config.routes.post("/admin/domains/{domain}/return") { ctx -> authorized(ctx) { setDomain(ctx, out = false) } }
         }
@@ -86,6 +92,19 @@
         answer(context, editor.replace(key, context.body(), if (create) null else expected?.let(::ObjectVersion)))
     }
 
+    /** Waits until the given revisions are in effect on all live instances and names those that lag. */
+    private fun awaitEffective(context: Context) {
+        fun number(name: String) = context.queryParam(name)?.toLongOrNull() ?: 0
+        val target = TableRevisions(number("routes"), number("pools"), number("accounts"))
+        val lagging = control.awaitEffective(target, Duration.ofMillis(number("waitMillis").coerceIn(0, MAX_WAIT_MILLIS)))
+        val document =
+            buildJsonObject {
+                put("effective", lagging.isEmpty())
+                putJsonArray("lagging") { lagging.forEach { add(it.value) } }
+            }
+        context.json(document.toString())
+    }
+
     private fun setDomain(
         context: Context,
         out: Boolean,
@@ -169,6 +188,7 @@
 
     private companion object {
         const val MIN_THREADS = 4
+        const val MAX_WAIT_MILLIS = 60_000L
         const val MAX_THREADS = 16
         const val PROBLEM = "application/problem+json"
         const val UNKNOWN_TABLE = "tables are routes, pools and accounts"
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/StateDump.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/StateDump.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.daemon.process
 
 import io.buckthornlever.api.process.Configuration
+import io.buckthornlever.daemon.process.control.ControlDump
 import kotlinx.serialization.Serializable
 
 /** State of one daemon as operators see it; holds no secrets. */
@@ -16,6 +17,7 @@
     val poolsRevision: Long,
     val accountsRevision: Long,
     val domainsOut: List<String>,
+    val control: ControlDump?,
     val upstreams: List<UpstreamDump>,
 ) {
     /** State of one upstream as this daemon sees it. */
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/ControlPlane.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/ControlPlane.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.daemon.process.control
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.onSuccess
@@ -38,8 +39,6 @@
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.Executors
-import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
@@ -71,7 +70,7 @@
     private val codec = PeerCodec(PeerIdentity(settings.site, settings.id, incarnation), counters, keys = keys)
     private val sockets = PeerSockets(settings.host, settings.port, codec, counters, this)
     private val random = Random(settings.seed)
-    private val workers = Executors.newFixedThreadPool(WORKERS) { Thread(it, "${settings.id}-control-worker").apply { isDaemon = true } }
+    private val workers = ControlWorkers(settings.id.value, failed)
     private val loop = ControlLoop("${settings.id}-control", clock, settings.membership.tick, ::tick, failed)
     private val leases = ConcurrentHashMap<String, LeaseDriver>()
     private val leaseMachine = LeaseMachine(settings.lease)
@@ -81,7 +80,6 @@
     private lateinit var sync: ConfigurationSync
     private var nextList = Long.MIN_VALUE
     private var storeWasDown = false
-    private var syncedLive = emptyList<MemberAddress>()
 
     /** Own address with the bound port; valid after [start]. */
     public lateinit var address: MemberAddress
@@ -115,7 +113,7 @@
     /** Takes part in the lease [name]; [permit] tells whether this instance holds it. */
     public fun joinLease(name: String) {
         leases.computeIfAbsent(name) {
-            LeaseDriver(name, LeaseState(settings.id, incarnation), leaseMachine, store, clock, listener, ::work) { loop.post(it) }
+            LeaseDriver(name, LeaseState(settings.id, incarnation), leaseMachine, store, clock, listener, workers::run) { loop.post(it) }
         }
     }
 
@@ -183,7 +181,7 @@
 
     override fun close() {
         loop.close()
-        workers.shutdownNow()
+        workers.close()
         sockets.close()
     }
 
@@ -213,7 +211,8 @@
     private fun tick(now: Moment) {
         membership(MembershipEvent.Tick, now)
         configuration(ConfigurationEvent.Tick, now)
-        leases.values.forEach { it.handle(LeaseEvent.Tick, now) }
+        // Only the few watchers compete for leases, so that the reads of the store do not grow with the fleet.
+        leases.values.filter { sync.isWatcher || it.isInvolved }.forEach { it.handle(LeaseEvent.Tick, now) }
         stepWaits(now)
         readInstanceList(now)
     }
@@ -232,7 +231,7 @@
         val list = instances ?: return
         if (now.nanos < nextList) return
         nextList = now.nanos + settings.listEvery.toNanos()
-        work {
+        workers.run {
             list.instances().onSuccess { listed ->
                 val seeds = listed.filter { it.peerPort > 0 && it.role == ENTRY_ROLE }
                     .map { MemberAddress(it.id, it.address, it.peerPort, it.failureDomain) }
@@ -258,8 +257,8 @@
     private fun execute(command: MembershipCommand, now: Moment) {
         when (command) {
             is MembershipCommand.Send -> sockets.send(command.to, command.message)
-            is MembershipCommand.PullMembers -> work { pullMembers(command.from) }
-            is MembershipCommand.TestConnection -> work {
+            is MembershipCommand.PullMembers -> workers.run { pullMembers(command.from) }
+            is MembershipCommand.TestConnection -> workers.test {
                 val evidence = sockets.test(command.to, TEST_TIMEOUT)
                 loop.post { later -> membership(MembershipEvent.ConnectionTested(command.to.id, evidence), later) }
             }
@@ -285,9 +284,9 @@
 
     private fun execute(command: ConfigurationCommand, now: Moment) {
         when (command) {
-            ConfigurationCommand.ListTables -> work { report(store.list(StoreTables.PREFIX)) }
-            is ConfigurationCommand.WatchTables -> work { report(store.watch(StoreTables.PREFIX, command.since, WATCH_WAIT)) }
-            is ConfigurationCommand.PullTables -> work { pullTables(command.from, command.since) }
+            ConfigurationCommand.ListTables -> readStore { store.list(StoreTables.PREFIX) }
+            is ConfigurationCommand.WatchTables -> readStore { store.watch(StoreTables.PREFIX, command.since, WATCH_WAIT) }
+            is ConfigurationCommand.PullTables -> workers.run { pullTables(command.from, command.since) }
             is ConfigurationCommand.Activate -> activated(command.source, now)
             is ConfigurationCommand.Refused -> listener.refused(command.revisions, command.findings)
         }
@@ -308,9 +307,17 @@
         loop.post { now -> configuration(event, now) }
     }
 
-    private fun report(
-        result: Result<ObjectListing, StoreError>,
-    ) {
+    /** An unexpected error counts as a failed call, so that the next one is not waited for in vain. */
+    private fun readStore(call: () -> Result<ObjectListing, StoreError>) =
+        workers.watch {
+            try {
+                report(call())
+            } catch (e: RuntimeException) {
+                report(Err(StoreError.Unavailable(e.toString())))
+            }
+        }
+
+    private fun report(result: Result<ObjectListing, StoreError>) {
         val event = result.fold(
             success = { listing ->
                 val tables = StoreTables.read(listing.objects)
@@ -328,22 +335,11 @@
         }
     }
 
-    private fun work(task: () -> Unit) {
-        try {
-            workers.execute(task)
-        } catch (e: RejectedExecutionException) {
-            // Only after close; the result no longer matters.
-            counters.connectionErrors.increment()
-        }
-    }
-
     private companion object {
         const val ENTRY_ROLE = "entry"
         const val MAX_FACTS = 5_000
         const val GRACE_MILLIS = 500L
 
-        /** One worker may wait for a watch; the others serve pulls, connection tests and leases. */
-        const val WORKERS = 6
         val PULL_TIMEOUT: Duration = Duration.ofMillis(1_500)
         val TEST_TIMEOUT: Duration = Duration.ofSeconds(1)
         val WATCH_WAIT: Duration = Duration.ofSeconds(10)
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/ControlWorkers.kt
@@ -0,0 +1,71 @@
+package io.buckthornlever.daemon.process.control
+
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+/**
+ * Threads for calls that block. Watches and connection tests have their own, so that a long poll or many unreachable members do not
+ * delay pulls of tables and lease writes.
+ *
+ * @param failed receives unexpected errors of tasks
+ */
+internal class ControlWorkers(
+    private val name: String,
+    private val failed: (Throwable) -> Unit,
+) : AutoCloseable {
+    private val calls = pool("calls", CALL_THREADS, QUEUED_CALLS)
+    private val watches = pool("watch", 1, 1)
+    private val tests = pool("tests", TEST_THREADS, QUEUED_TESTS)
+
+    @Volatile
+    private var closed = false
+
+    /** Runs a short call. */
+    fun run(task: () -> Unit) = calls.execute { guarded(task) }
+
+    /** Runs a call that may wait for a change. */
+    fun watch(task: () -> Unit) = watches.execute { guarded(task) }
+
+    /** Runs a connection test; it is left out when many are waiting, because its result only refines a judgement. */
+    fun test(task: () -> Unit) = tests.execute { guarded(task) }
+
+    /** Lets short calls end, such as the write that gives up a lease, and interrupts the others. */
+    override fun close() {
+        calls.shutdown()
+        calls.awaitTermination(CLOSE_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+        closed = true
+        listOf(calls, watches, tests).forEach { it.shutdownNow() }
+    }
+
+    private fun guarded(task: () -> Unit) {
+        try {
+            task()
+        } catch (e: InterruptedException) {
+            Thread.currentThread().interrupt()
+        } catch (e: RuntimeException) {
+            if (!closed) failed(e)
+        }
+    }
+
+    private fun pool(kind: String, threads: Int, queued: Int): ExecutorService =
+        ThreadPoolExecutor(
+            threads,
+            threads,
+            IDLE_SECONDS,
+            TimeUnit.SECONDS,
+            LinkedBlockingQueue(queued),
+            { Thread(it, "$name-control-$kind").apply { isDaemon = true } },
+            ThreadPoolExecutor.DiscardPolicy(),
+        ).apply { allowCoreThreadTimeOut(true) }
+
+    private companion object {
+        const val CALL_THREADS = 4
+        const val TEST_THREADS = 2
+        const val QUEUED_CALLS = 256
+        const val QUEUED_TESTS = 32
+        const val IDLE_SECONDS = 30L
+        const val CLOSE_WAIT_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/FallbackTables.kt
@@ -0,0 +1,25 @@
+package io.buckthornlever.daemon.process.control
+
+import io.buckthornlever.api.process.Configuration
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Tables of the file that the settings name; they serve until the store or a peer gives newer ones. */
+internal object FallbackTables {
+    /** Reads [file]; empty tables and a call of [refused] when it cannot be read. */
+    fun read(file: String?, refused: (String) -> Unit): Configuration {
+        if (file == null) return Configuration()
+        return try {
+            Json.decodeFromString(Configuration.serializer(), Files.readString(Path.of(file)))
+        } catch (e: IOException) {
+            refused("$file cannot be read: ${e.message}")
+            Configuration()
+        } catch (e: SerializationException) {
+            refused("$file: ${e.message.orEmpty().lineSequence().first()}")
+            Configuration()
+        }
+    }
+}
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/LeaseDriver.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/LeaseDriver.kt
@@ -35,6 +35,9 @@
     @Volatile
     private var state = initial
 
+    /** True while this instance holds the lease or a write to it is under way. */
+    val isInvolved: Boolean get() = state.held != null || state.pending != null
+
     /** Permission for one order now; may be called on any thread. */
     fun permit(honoursFencing: Boolean): LeasePermit? = machine.permit(state, honoursFencing, Moment.of(clock))
 
--- a/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerSockets.kt
+++ b/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerSockets.kt
@@ -37,6 +37,7 @@
 import kotlinx.io.readByteArray
 import java.io.IOException
 import java.net.ConnectException
+import java.nio.channels.ClosedSelectorException
 import java.time.Duration
 
 /**
@@ -114,6 +115,8 @@
                 Err(PeerError.Refused)
             } catch (e: IOException) {
                 Err(PeerError.Unreachable(e.message ?: e.javaClass.simpleName))
+            } catch (e: ClosedSelectorException) {
+                Err(PeerError.Unreachable("this instance is stopping"))
             }
         }
         result ?: Err(if (connected) PeerError.Silent else PeerError.Unreachable("no connection within $timeout"))
