Add version moves with merged evidence, local stops and fenced growth

A bad version has to lose its traffic on every instance within 3 s of a visible fault, also without the object store, while a good one has to finish in time. Errors and latency buckets are compared with the old version per route, load state and recent window; a stop is a local, gossiped fact, and the share grows only by the lease holder's record.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/Evidence.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/Evidence.kt
@@ -1,7 +1,9 @@
 package io.buckthornlever.core.version
 
 import io.buckthornlever.api.process.InstanceId
-import io.buckthornlever.api.version.VersionMove
+import io.buckthornlever.api.process.RouteName
+import io.buckthornlever.api.version.VersionLabel
+import java.time.Duration
 import java.time.Instant
 
 /**
@@ -11,27 +13,39 @@
 internal class Evidence(
     private val self: InstanceId,
     private val id: MoveId,
-    private val move: VersionMove,
 ) {
-    private val slots = EvidenceSlots(Instant.parse(move.startAt), Instant.parse(move.dueAt))
+    private val start = Instant.parse(id.startAt)
+    private val from = VersionLabel(id.from)
+    private val to = VersionLabel(id.to)
     private val cells = HashMap<InstanceId, HashMap<EvidenceKey, EvidenceCell>>()
     private val changed = LinkedHashSet<EvidenceKey>()
+    private val ownRoutes = HashSet<RouteName>()
+    private var prunedAt = -PRUNE_SECONDS
+    private val sums = HashMap<EvidenceKey, EvidenceCell>()
 
     /** Grows with every change; lets readers skip an evaluation without news. */
     var revision = 0L
         private set
 
+    /** Sums over all instances; valid until the next change. */
+    val totals: Map<EvidenceKey, EvidenceCell> get() = sums
+
+    /** Rows kept over all instances. */
+    val rowCount: Int get() = cells.values.sumOf { it.size }
+
     fun observe(
         outcome: Outcome,
         now: Instant,
     ) {
-        val isNew = outcome.version == move.to
-        if (!isNew && outcome.version != move.from) return
+        val isNew = outcome.version == to
+        if (!isNew && outcome.version != from) return
         val own = cells.getOrPut(self) { HashMap() }
-        if (own.keys.none { it.route == outcome.route } && own.keys.mapTo(HashSet()) { it.route }.size >= MAX_ROUTES) return
-        slots.at(now).forEach { slot ->
+        if (outcome.route !in ownRoutes && ownRoutes.size >= MAX_ROUTES) return
+        ownRoutes.add(outcome.route)
+        EvidenceSlots.at(elapsed(now)).forEach { slot ->
             val key = EvidenceKey(outcome.route, isNew, outcome.underLoad, slot)
             own.getOrPut(key) { EvidenceCell() }.add(outcome)
+            sums.getOrPut(key) { EvidenceCell() }.add(outcome)
             changed.add(key)
         }
         revision++
@@ -43,10 +57,13 @@
     ) {
         if (delta.move != id || delta.instance == self) return
         if (delta.instance !in cells && cells.size >= MAX_INSTANCES) return
+        val rows = EvidenceCodec.decode(delta.values, delta.routes) ?: return
         val theirs = cells.getOrPut(delta.instance) { HashMap() }
-        delta.rows.filter { slots.retained(it.key.slot, now) }.forEach { row ->
+        val elapsed = elapsed(now)
+        rows.filter { EvidenceSlots.retained(it.key.slot, elapsed) }.forEach { row ->
             if (row.key !in theirs && theirs.size >= MAX_ROWS) return@forEach
-            if (theirs.getOrPut(row.key) { EvidenceCell() }.mergeMaximum(row)) revision++
+            val sum = sums.getOrPut(row.key) { EvidenceCell() }
+            if (theirs.getOrPut(row.key) { EvidenceCell() }.mergeMaximum(row, sum)) revision++
         }
     }
 
@@ -56,33 +73,45 @@
         // The new version's rows go first: a stop depends on them, the old version's rows only sharpen the comparison.
         val keys = changed.sortedBy { if (it.newVersion) 0 else 1 }.take(limit)
         changed.removeAll(keys.toSet())
-        val rows = keys.mapNotNull { key -> own[key]?.toRow(key) }
-        return if (rows.isEmpty()) null else EvidenceDelta(self, id, rows)
+        return encode(keys.mapNotNull { key -> own[key]?.toRow(key) })
     }
 
     /** All own rows, for a peer that has none. */
-    fun full(): EvidenceDelta? = cells[self]?.let { own -> EvidenceDelta(self, id, own.map { (key, cell) -> cell.toRow(key) }) }
+    fun full(): EvidenceDelta? = encode(cells[self].orEmpty().map { (key, cell) -> cell.toRow(key) })
+
+    /** Attempts of the old and the new version that ended in the complete short windows from [since] on. */
+    fun requestsSince(since: Instant): Pair<Int, Int> {
+        val first = EvidenceSlots.indexAt(elapsed(since), EvidenceSlots.LEVELS.first()) + 1
+        val recent = sums.filterKeys { it.slot.seconds == EvidenceSlots.LEVELS.first() && it.slot.index >= first }
+        val (new, old) = recent.entries.partition { it.key.newVersion }
+        return old.sumOf { it.value.requests } to new.sumOf { it.value.requests }
+    }
 
     /** Drops rows outside the kept windows. */
     fun prune(now: Instant) {
-        cells.values.forEach { rows -> rows.keys.removeIf { !slots.retained(it.slot, now) } }
-        changed.removeIf { !slots.retained(it.slot, now) }
+        val elapsed = elapsed(now)
+        if (elapsed.seconds < prunedAt + PRUNE_SECONDS) return
+        prunedAt = elapsed.seconds
+        val drop = { key: EvidenceKey -> !EvidenceSlots.retained(key.slot, elapsed) }
+        cells.values.forEach { it.keys.removeIf(drop) }
+        sums.keys.removeIf(drop)
+        changed.removeIf(drop)
     }
 
-    /** Sums over instances. */
-    fun totals(): Map<EvidenceKey, EvidenceCell> {
-        val sums = HashMap<EvidenceKey, EvidenceCell>()
-        cells.values.forEach { rows -> rows.forEach { (key, cell) -> sums.getOrPut(key) { EvidenceCell() }.addAll(cell) } }
-        return sums
-    }
+    private fun elapsed(now: Instant): Duration = Duration.between(start, now)
 
-    fun rowCount(): Int = cells.values.sumOf { it.size }
+    private fun encode(rows: List<EvidenceRow>): EvidenceDelta? {
+        if (rows.isEmpty()) return null
+        val routes = EvidenceCodec.routes(rows)
+        return EvidenceDelta(self, id, routes, EvidenceCodec.encode(rows, routes))
+    }
 
     companion object {
+        private const val PRUNE_SECONDS = 4L
         const val MAX_ROUTES = 16
         const val MAX_INSTANCES = 256
 
-        // Routes, two versions, two load states and all kept windows.
-        const val MAX_ROWS = MAX_ROUTES * 4 * (EvidenceSlots.FINE_KEPT + EvidenceSlots.COARSE_KEPT + 4)
+        /** Routes, two versions, two load states, and all kept windows with those that a fast clock opens early. */
+        const val MAX_ROWS = MAX_ROUTES * 4 * 3 * (EvidenceSlots.KEPT + 8)
     }
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/EvidenceRow.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/EvidenceRow.kt
@@ -1,7 +1,5 @@
 package io.buckthornlever.core.version
 
-import kotlinx.serialization.Serializable
-
 /**
  * Counters of one instance for one key. Each counter only grows, so that rows merge by maximum.
  *
@@ -9,8 +7,7 @@
  * @property errors attempts that failed
  * @property latency pairs of bucket index and count, flattened and sorted by bucket; failed attempts are not included
  */
-@Serializable
-public data class EvidenceRow(
+internal data class EvidenceRow(
     val key: EvidenceKey,
     val requests: Int,
     val errors: Int,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/EvidenceSlots.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/EvidenceSlots.kt
@@ -1,39 +1,38 @@
 package io.buckthornlever.core.version
 
 import java.time.Duration
-import java.time.Instant
 
 /**
- * Windows in which a move's evidence is kept: short ones over the last [FINE_KEPT] seconds, in which a fault that starts late
- * is not diluted by older results, and long ones that cover the whole move for routes with little traffic.
+ * Windows in which a move's evidence is kept, on three levels: short ones, in which a fault that starts late is not diluted by
+ * older results, and longer ones for routes with little traffic. The levels are fixed rather than derived from the move, so that
+ * instances with different revisions of the pool table count in the same windows.
  */
-internal class EvidenceSlots(
-    private val start: Instant,
-    due: Instant,
-) {
-    private val coarseSeconds =
-        Duration.between(start, due).seconds.let { ((it + COARSE_KEPT - 1) / COARSE_KEPT).coerceIn(2L, MAX_COARSE_SECONDS) }.toInt()
+internal object EvidenceSlots {
+    /** Lengths of the windows in seconds, shortest first. */
+    val LEVELS: List<Int> = listOf(1, 16, 256)
 
-    fun at(now: Instant): List<EvidenceSlot> {
-        val elapsed = Duration.between(start, now).seconds.coerceAtLeast(0)
-        return listOf(EvidenceSlot(1, elapsed.toInt()), EvidenceSlot(coarseSeconds, (elapsed / coarseSeconds).toInt()))
-    }
+    /** Windows kept per level; 85 minutes on the longest one. */
+    const val KEPT = 20
+
+    /** Clocks of instances differ; a window shortly ahead of this instance's time is accepted. */
+    private const val CLOCK_ERROR_SLOTS = 2
+
+    /** The windows that contain [elapsed] after the start of the move, one per level; everything before the start is in the first. */
+    fun at(elapsed: Duration): List<EvidenceSlot> = LEVELS.map { EvidenceSlot(it, indexAt(elapsed, it)) }
 
-    /** Whether [slot] has a known length and is recent enough at [now] to be kept. */
+    /** Number of the window of [seconds] that contains [elapsed]. */
+    fun indexAt(
+        elapsed: Duration,
+        seconds: Int,
+    ): Int = (elapsed.seconds.coerceIn(0, Int.MAX_VALUE.toLong()) / seconds).toInt()
+
+    /** Whether [slot] has a known length and is recent enough at [elapsed] to be kept. */
     fun retained(
         slot: EvidenceSlot,
-        now: Instant,
+        elapsed: Duration,
     ): Boolean {
-        val newest = at(now).firstOrNull { it.seconds == slot.seconds } ?: return false
-        val kept = if (slot.seconds == 1) FINE_KEPT else COARSE_KEPT
-        // Clocks of instances differ; a slot shortly ahead of this instance's time is accepted.
-        return slot.index in (newest.index - kept + 1).coerceAtLeast(0)..newest.index + CLOCK_ERROR_SLOTS
-    }
-
-    companion object {
-        const val FINE_KEPT = 20
-        const val COARSE_KEPT = 48
-        private const val CLOCK_ERROR_SLOTS = 2
-        private const val MAX_COARSE_SECONDS = 3_600L
+        if (slot.seconds !in LEVELS) return false
+        val newest = indexAt(elapsed, slot.seconds)
+        return slot.index >= maxOf(0, newest - KEPT + 1) && slot.index <= newest + CLOCK_ERROR_SLOTS
     }
 }
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/HeldLease.kt
@@ -0,0 +1,13 @@
+package io.buckthornlever.core.version
+
+import java.time.Instant
+
+/**
+ * The lease for version moves, as held by this instance.
+ *
+ * @property expiresAt end of the lease, with the clock error already subtracted
+ */
+public data class HeldLease(
+    val fencing: Long,
+    val expiresAt: Instant,
+)
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionWeights.kt
@@ -0,0 +1,14 @@
+package io.buckthornlever.core.version
+
+import io.buckthornlever.api.version.VersionLabel
+
+/**
+ * How a pool's new requests are divided between the versions of its move.
+ *
+ * @property newPermille share of [new], in permille; the rest goes to [old]
+ */
+public data class VersionWeights(
+    val old: VersionLabel,
+    val new: VersionLabel,
+    val newPermille: Int,
+)
--- /dev/null
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/version/VersionComparisonTest.kt
@@ -0,0 +1,105 @@
+package io.buckthornlever.core.version
+
+import java.util.SplittableRandom
+import kotlin.test.Test
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+internal class VersionComparisonTest {
+    private val random = SplittableRandom(3)
+    private val evidence = Evidence(MoveFixture.SELF, MoveFixture.ID)
+
+    /** Twenty requests per second for [seconds]; the new version gets every fourth. */
+    private fun run(
+        seconds: IntRange,
+        outcome: (Boolean, String) -> Outcome,
+    ): Assessment {
+        for (second in seconds) {
+            repeat(40) {
+                evidence.observe(
+                    outcome(
+                        it % 4 == 0,
+                        if (it % 10 <
+                            7
+                        ) {
+                            "big"
+                        } else {
+                            "small"
+                        },
+                    ),
+                    MoveFixture.START.plusSeconds(second.toLong()),
+                )
+            }
+        }
+        return VersionComparison(evidence.totals).assess()
+    }
+
+    private fun usual(
+        new: Boolean,
+        route: String,
+    ): Outcome = MoveFixture.outcome(new, random.nextInt(200) == 0, random.nextLong(10, 60), route)
+
+    @Test
+    fun `a version like the old one is decided good`() {
+        val result = run(0..60, ::usual)
+        assertTrue(result.decidedGood && result.favourable, "$result")
+    }
+
+    @Test
+    fun `a version that starts to fail after minutes is bad within two seconds`() {
+        run(0..200, ::usual)
+        assertTrue(
+            run(201..202) { new, route ->
+                if (new &&
+                    random.nextBoolean()
+                ) {
+                    MoveFixture.outcome(true, failed = true, route = route)
+                } else {
+                    usual(new, route)
+                }
+            }.bad,
+        )
+    }
+
+    @Test
+    fun `a version that is three times slower on the small route only is bad`() {
+        val result =
+            run(0..60) { new, route ->
+                if (new &&
+                    route == "small"
+                ) {
+                    MoveFixture.outcome(true, millis = random.nextLong(30, 180), route = route)
+                } else {
+                    usual(new, route)
+                }
+            }
+        assertTrue(result.bad && "small" in result.worst, "$result")
+    }
+
+    @Test
+    fun `errors that both versions have at the same time do not count against the new one`() {
+        run(0..60, ::usual)
+        val result = run(61..75) { new, route -> MoveFixture.outcome(new, random.nextInt(3) == 0, random.nextLong(10, 60), route) }
+        assertFalse(result.bad, "$result")
+    }
+
+    @Test
+    fun `errors of both versions count as shared when the old one is under load and the new one is not`() {
+        fun loaded(
+            new: Boolean,
+            route: String,
+            failed: Boolean,
+        ) = MoveFixture.outcome(new, failed, random.nextLong(10, 60), route, underLoad = !new)
+        run(0..60) { new, route -> loaded(new, route, random.nextInt(200) == 0) }
+        assertFalse(run(61..75) { new, route -> loaded(new, route, random.nextInt(3) == 0) }.bad)
+    }
+
+    @Test
+    fun `a new version under load is not slower than an old one without load for that reason`() {
+        val result =
+            run(0..60) { new, route ->
+                MoveFixture.outcome(new, false, random.nextLong(10, 60) * if (new) 3 else 1, route, underLoad = new)
+            }
+        assertFalse(result.bad, "$result")
+    }
+}
