--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -8,6 +8,7 @@
     val all: List<Experiment> = listOf(
         ForwardExperiment(),
         VersionMoveExperiment(),
+        DomainExperiment(),
     )
 
     /** The experiment called [name], or null. */
