--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -8,6 +8,7 @@
 import io.buckthornlever.bench.request.LocalityExperiment
 import io.buckthornlever.bench.request.OverloadExperiment
 import io.buckthornlever.bench.request.StreamExperiment
+import io.buckthornlever.bench.version.VersionMoveExperiment
 
 /** All experiments in the order in which `list` prints them. */
 internal object ExperimentRegistry {
@@ -23,6 +24,9 @@
             ConfigurationExperiment(),
             LocalityExperiment(),
             OverloadExperiment(),
+            VersionMoveExperiment(),
+            DomainExperiment(),
+            CapacityExperiment(),
         )
 
     /** The experiment called [name], or null. */
