Add the combined-faults experiment and let callers repeat unknown outcomes

Callers repeat a non-repeatable call whose outcome they do not know, with the same key and through another instance. The site fixture lists its entry instances, so that they find each other.

--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -15,6 +15,7 @@
     val all: List<Experiment> =
         listOf(
             ForwardExperiment(),
+            CombinedFaultsExperiment(),
             AtMostOnceExperiment,
             CrashRequestExperiment,
             StreamExperiment.RECLAIM,
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/Quickstart.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/Quickstart.kt
@@ -1,8 +1,5 @@
 package io.buckthornlever.bench.process
 
-import okhttp3.OkHttpClient
-import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
 import java.time.Duration
 import java.time.Instant
 import java.util.concurrent.TimeUnit
@@ -14,10 +11,8 @@
     private val duration: Duration,
     private val seed: Long,
 ) {
-    private val timeline = InvariantChecker.Timeline()
-    private val http = OkHttpClient()
+    private val events = EventRecord()
     private val start = System.nanoTime()
-    private var highestRevisions = emptyList<Long>()
 
     /** Runs to the end and returns the checked lines. */
     fun run(): List<InvariantResult> =
@@ -27,104 +22,71 @@
             val traffic = TrafficGenerator(fixture, seed, CALLERS)
             traffic.use {
                 it.start()
-                events(fixture, it)
+                act(fixture, it, SiteOperator(fixture, events))
             }
             val calls = traffic.finished
             say("${calls.size} calls, ${calls.count { it.whole }} with their whole answer")
-            InvariantChecker(fixture, calls, timeline).check()
+            InvariantChecker(fixture, calls, events).check()
         }
 
-    private fun events(
+    private fun act(
         fixture: SiteFixture,
         traffic: TrafficGenerator,
+        operator: SiteOperator,
     ) {
-        until(fixture, traffic, RECLAIM_AT)
+        val domain = fixture.layout.domains[1]
+        until(operator, traffic, RECLAIM_AT)
         reclaim(fixture)
-        until(fixture, traffic, DOMAIN_OUT_AT)
-        takeOut(fixture)
-        until(fixture, traffic, RESTART_AT)
-        fixture.engines[timeline.reclaimedEngine].restart()
-        say("engine-${timeline.reclaimedEngine} is back, cold")
-        until(fixture, traffic, DOMAIN_BACK_AT)
-        timeline.domainBack = Instant.now()
-        operate(fixture, "return")
-        until(fixture, traffic, SHUTDOWN_AT)
-        timeline.closedInstance = fixture.daemons.lastIndex
-        say("entry-${timeline.closedInstance} shuts down gracefully")
+        until(operator, traffic, DOMAIN_OUT_AT)
+        check(operator.takeOut(domain)) { "taking out $domain was refused" }
+        say("operator took out $domain; in effect on all instances after ${events.changeTimes.last().toMillis()} ms")
+        until(operator, traffic, RESTART_AT)
+        fixture.engines[0].restart()
+        say("engine-0 is back, cold")
+        until(operator, traffic, DOMAIN_BACK_AT)
+        check(operator.giveBack(domain)) { "returning $domain was refused" }
+        say("operator returned $domain")
+        until(operator, traffic, SHUTDOWN_AT)
+        say("entry-${fixture.daemons.lastIndex} shuts down gracefully")
+        events.closedInstances += fixture.daemons.lastIndex
         fixture.daemons.last().close()
-        until(fixture, traffic, 1.0)
+        until(operator, traffic, 1.0)
     }
 
     private fun reclaim(fixture: SiteFixture) {
-        timeline.reclaimedEngine = 0
-        timeline.reclaimNotice = Instant.now()
         val notice = Duration.ofMillis((duration.toMillis() * NOTICE_SHARE).toLong())
+        val now = Instant.now()
+        events.reclaims += EventRecord.Reclaim(0, now, now.plus(notice))
         fixture.engines[0].reclaim(notice)
         say("engine-0 is reclaimed with ${notice.toMillis()} ms of notice")
     }
 
-    private fun takeOut(fixture: SiteFixture) {
-        timeline.domainIndex = 1
-        val before = System.nanoTime()
-        timeline.domainOut = Instant.now()
-        operate(fixture, "take-out")
-        val domain = fixture.layout.domains[1]
-        SiteFixture.awaitOrFail("the change is in effect") { fixture.daemons.all { domain in it.effectiveConfiguration.pools.domainsOut } }
-        timeline.changeInEffect = Duration.ofNanos(System.nanoTime() - before)
-        say("in effect on all instances after ${timeline.changeInEffect?.toMillis()} ms")
-    }
-
-    private fun operate(
-        fixture: SiteFixture,
-        action: String,
-    ) {
-        val domain = fixture.layout.domains[timeline.domainIndex]
-        val url = "${fixture.daemons.first().operatorUrl}/admin/domains/$domain/$action"
-        val request =
-            Request
-                .Builder()
-                .url(url)
-                .header("Authorization", "Bearer ${SiteFixture.OPERATOR_TOKEN}")
-                .post(ByteArray(0).toRequestBody())
-                .build()
-        http.newCall(request).execute().use {
-            check(it.isSuccessful) { "$action of $domain was refused with ${it.code}: ${it.body.string()}" }
-        }
-        say("operator: $action $domain")
-    }
-
     /** Waits until [share] of the run is over; watches that no revision goes back. */
     private fun until(
-        fixture: SiteFixture,
+        operator: SiteOperator,
         traffic: TrafficGenerator,
         share: Double,
     ) {
         var nextReport = System.nanoTime() + REPORT_EVERY.toNanos()
         while (System.nanoTime() - start < duration.toNanos() * share) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SAMPLE_MILLIS))
-            sampleRevisions(fixture)
+            operator.sampleRevisions()
             if (System.nanoTime() < nextReport) continue
             nextReport += REPORT_EVERY.toNanos()
             say("${traffic.finished.size} calls done")
         }
     }
 
-    private fun sampleRevisions(fixture: SiteFixture) {
-        val now = fixture.daemons.map { it.effectiveConfiguration.pools.revision }
-        if (highestRevisions.isNotEmpty()) timeline.revisionReverts += now.indices.count { now[it] < highestRevisions[it] }
-        highestRevisions = now
-    }
-
     private fun say(text: String) {
         println("[%6.1f s] %s".format((System.nanoTime() - start) / NANOS_PER_SECOND, text))
     }
 
     private companion object {
         const val CALLERS = 12
-        const val RECLAIM_AT = 0.10
-        const val NOTICE_SHARE = 0.20
-        const val DOMAIN_OUT_AT = 0.20
-        const val RESTART_AT = 0.50
+        const val RECLAIM_AT = 0.15
+        const val NOTICE_SHARE = 0.25
+        const val DOMAIN_OUT_AT = 0.25
+        const val RESTART_AT = 0.55
         const val DOMAIN_BACK_AT = 0.70
         const val SHUTDOWN_AT = 0.85
         const val SAMPLE_MILLIS = 50L
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/SiteFixture.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/SiteFixture.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.process.ObjectKey
+import io.buckthornlever.api.process.PlatformInstance
 import io.buckthornlever.core.process.TableCodec
 import io.buckthornlever.daemon.process.Daemon
 import io.buckthornlever.daemon.process.Settings
@@ -39,6 +40,9 @@
         store.put(ObjectKey.ROUTES.value, TableCodec.encode(SiteTables.routes(layout)))
         store.put(ObjectKey.POOLS.value, TableCodec.encode(SiteTables.pools(layout, engines.map { it.url }, services.map { it.url })))
         daemons.forEach { it.start() }
+        daemons.forEachIndexed { index, daemon ->
+            instanceList.put(PlatformInstance(InstanceId("entry-$index"), "127.0.0.1", daemon.peerPort, layout.domainOf(index), "entry"))
+        }
         awaitOrFail("daemons are ready") { daemons.all { it.ready() } }
     }
 
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/TrafficGenerator.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/TrafficGenerator.kt
@@ -37,14 +37,33 @@
         val random = SplittableRandom(seed * SEED_FACTOR + number)
         while (!stopped) {
             val kind = kinds[random.nextInt(kinds.size)]
-            val ready = fixture.daemons.indices.filter { fixture.daemons[it].ready() }
-            if (ready.isEmpty()) continue
-            val instance = ready[random.nextInt(ready.size)]
-            records += caller.call(kind, instance, fixture.daemons[instance].callerUrl, random)
+            val instance = pick(random) ?: continue
+            val record = caller.call(kind, instance, fixture.daemons[instance].callerUrl, random)
+            records += record
+            if (kind == CallKind.NON_REPEATABLE && !record.whole) resend(record, random)
         }
     }
 
+    // Callers repeat a call whose outcome they do not know, through whichever instance the balancer gives them.
+    private fun resend(
+        record: CallRecord,
+        random: SplittableRandom,
+    ) {
+        repeat(RESENDS) {
+            val instance = pick(random) ?: return
+            val again = caller.resend(record, instance, fixture.daemons[instance].callerUrl, random)
+            records += again
+            if (again.whole) return
+        }
+    }
+
+    private fun pick(random: SplittableRandom): Int? {
+        val ready = fixture.daemons.indices.filter { fixture.daemons[it].ready() }
+        return if (ready.isEmpty()) null else ready[random.nextInt(ready.size)]
+    }
+
     private companion object {
+        const val RESENDS = 2
         const val JOIN_SECONDS = 30L
         const val SEED_FACTOR = 1_000L
         val kinds = listOf(CallKind.LONG_STREAM, CallKind.BRIEF, CallKind.BRIEF, CallKind.LOOKUP, CallKind.LOOKUP, CallKind.NON_REPEATABLE)
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/Caller.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/Caller.kt
@@ -77,7 +77,14 @@
                 .post(body.toString().toRequestBody("application/json".toMediaType()))
                 .build()
         val expected = TokenText.answer(prompt, seed, tokens)
-        return send(kind, instance, null, request) { if (stream) streamedText(it) == expected else wholeText(it) == expected }
+        return send(kind, instance, null, "/v1/completions", request) {
+            if (stream) {
+                streamedText(it) == expected
+            } else {
+                wholeText(it) ==
+                    expected
+            }
+        }
     }
 
     private fun plain(
@@ -88,13 +95,32 @@
         random: SplittableRandom,
     ): CallRecord {
         val key = "key-" + java.lang.Long.toHexString(random.nextLong())
-        val builder = request(baseUrl, "$path/item", random).header("X-Standin-Key", key)
+        return plain(kind, instance, baseUrl, path, key, random)
+    }
+
+    /** Sends the non-repeatable call of [earlier] again with the same key, as a caller does that does not know its outcome. */
+    fun resend(
+        earlier: CallRecord,
+        instance: Int,
+        baseUrl: String,
+        random: SplittableRandom,
+    ): CallRecord = plain(earlier.kind, instance, baseUrl, earlier.path, earlier.key.orEmpty(), random)
+
+    private fun plain(
+        kind: CallKind,
+        instance: Int,
+        baseUrl: String,
+        path: String,
+        key: String,
+        random: SplittableRandom,
+    ): CallRecord {
+        val builder = request(baseUrl, "$path/item", random, key.hashCode()).header("X-Standin-Key", key)
         if (kind ==
             CallKind.NON_REPEATABLE
         ) {
             builder.header("Idempotency-Key", key).post("{}".toRequestBody("application/json".toMediaType()))
         }
-        return send(kind, instance, key, builder.build()) { response ->
+        return send(kind, instance, key, path, builder.build()) { response ->
             val json = Json.parseToJsonElement(response.body.string()) as? JsonObject
             (json?.get("key") as? JsonPrimitive)?.contentOrNull == key
         }
@@ -104,16 +130,18 @@
         baseUrl: String,
         path: String,
         random: SplittableRandom,
+        accountHash: Int = random.nextInt(),
     ): Request.Builder =
         Request
             .Builder()
             .url(baseUrl + path)
-            .header("Authorization", "Bearer " + SiteTables.apiKey(random.nextInt(SiteLayout.ACCOUNT_WEIGHTS.size)))
+            .header("Authorization", "Bearer " + SiteTables.apiKey(Math.floorMod(accountHash, SiteLayout.ACCOUNT_WEIGHTS.size)))
 
     private fun send(
         kind: CallKind,
         instance: Int,
         key: String?,
+        path: String,
         request: Request,
         isWhole: (Response) -> Boolean,
     ): CallRecord {
@@ -138,7 +166,7 @@
             detail = e.toString()
         }
         val elapsed = Duration.ofNanos(System.nanoTime() - start)
-        return CallRecord(kind, instance, key, startedAt, elapsed, status, executed, status in SUCCESS, whole, detail)
+        return CallRecord(kind, instance, key, path, startedAt, elapsed, status, executed, status in SUCCESS, whole, detail)
     }
 
     private fun executedOf(body: String): String? =
--- a/buckthornlever-cli/src/test/kotlin/io/buckthornlever/cli/process/OperatorClientTest.kt
+++ b/buckthornlever-cli/src/test/kotlin/io/buckthornlever/cli/process/OperatorClientTest.kt
@@ -28,6 +28,7 @@
 class OperatorClientTest {
     private val directory = Files.createTempDirectory("ctl-test")
     private val token = directory.resolve("token").also { Files.writeString(it, "secret") }
+    private val peerKey = directory.resolve("peer-key").also { Files.writeString(it, "0123456789abcdef0123456789abcdef") }
     private val store = ObjectStoreStandIn().start()
     private val list = InstanceListStandIn().start()
     private val daemon = start()
@@ -73,7 +74,7 @@
                 instance = Settings.InstanceSettings(InstanceId("entry-7"), FailureDomain("zone-a")),
                 listen = Settings.ListenSettings(),
                 platform = Settings.PlatformSettings(store.url, list.url),
-                keys = Settings.KeySettings(token.toString(), token.toString()),
+                keys = Settings.KeySettings(token.toString(), peerKey.toString()),
             )
         return Daemon(settings).also { started ->
             started.start()
