--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -1,6 +1,8 @@
 package io.buckthornlever.bench.process
 
 import io.buckthornlever.bench.process.control.ConfigurationExperiment
+import io.buckthornlever.bench.process.control.ControlCostExperiment
+import io.buckthornlever.bench.process.control.LeaseExperiment
 import io.buckthornlever.bench.process.control.MembershipExperiment
 import io.buckthornlever.bench.request.AtMostOnceExperiment
 import io.buckthornlever.bench.request.CrashRequestExperiment
@@ -22,6 +24,8 @@
             ShutdownExperiment,
             MembershipExperiment(),
             ConfigurationExperiment(),
+            LeaseExperiment(),
+            ControlCostExperiment(),
             LocalityExperiment(),
             OverloadExperiment(),
             VersionMoveExperiment(),
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/ConfigurationExperiment.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/ConfigurationExperiment.kt
@@ -16,13 +16,16 @@
 
     private val measurements = ArrayList<Measurement>()
     private val violations = ArrayList<String>()
+    private val naiveTimes = HashMap<Int, Duration>()
+    private val naiveWatches = HashMap<Int, Int>()
 
     override fun run(options: ExperimentOptions): ExperimentReport {
         measurements.clear()
         violations.clear()
-        val calls = TargetScale.SIZES.map { it.toDouble() to spread(it, options.seed) }
-        val fit = LinearFit(calls)
-        measurements.add(Measurement("store calls/s per instance added (slope)", "1/s", NAIVE_SLOPE, fit.slope))
+        val naive = LinearFit(TargetScale.SIZES.map { it.toDouble() to naiveSpread(it) })
+        val fit = LinearFit(TargetScale.SIZES.map { it.toDouble() to spread(it, options.seed) })
+        measurements.add(Measurement("store calls/s per instance added (slope)", "1/s", naive.slope, fit.slope))
+        println("naive store calls/s by fleet size: ${naive.describe()}")
         println("store calls/s by fleet size: ${fit.describe()}")
         RESTARTED_SIZES.forEach { rollingRestart(it, options.seed) }
         return ExperimentReport(name, bound, options.seed, measurements.toList(), violations.toList())
@@ -38,8 +41,8 @@
         val times = List(CHANGES) { change(cluster) }
         val watches = cluster.store.waiting
         val allowed = if (size <= SMALL_FLEET) MAX_SMALL else MAX_LARGE
-        measurements.add(Measurement("slowest change effective at $size", "s", NAIVE_SECONDS, seconds(times.max())))
-        measurements.add(Measurement("waiting watches at $size", "", size.toDouble(), watches.toDouble()))
+        measurements.add(Measurement("slowest change effective at $size", "s", naiveTimes[size]?.let(::seconds), seconds(times.max())))
+        measurements.add(Measurement("waiting watches at $size", "", naiveWatches[size]?.toDouble(), watches.toDouble()))
         if (times.max() > allowed) violations.add("a change took ${seconds(times.max())} s at $size instances")
         if (watches > 2 * domains) violations.add("$watches watches wait at $size instances")
         reportReverts(cluster, "$size instances")
@@ -47,6 +50,20 @@
         return (cluster.store.calls - before) / elapsed
     }
 
+    /** Fills [naiveTimes] and [naiveWatches]; returns store calls per second. */
+    private fun naiveSpread(size: Int): Double {
+        val naive = NaiveWatchers(size, TableFixture.configuration(UPSTREAMS, 1))
+        naive.run(WARM_UP)
+        val before = naive.calls
+        val times = List(CHANGES) {
+            naive.run(SETTLE)
+            naive.change(LIMIT)
+        }
+        naiveTimes[size] = times.max()
+        naiveWatches[size] = naive.waiting
+        return (naive.calls - before) / (seconds(SETTLE.multipliedBy(CHANGES.toLong())) + times.sumOf { seconds(it) })
+    }
+
     private fun change(cluster: ControlCluster): Duration {
         cluster.queue.run(SETTLE)
         cluster.store.write { tables, revision -> TableFixture.changed(tables, revision) }
@@ -69,9 +86,12 @@
             cluster.queue.run(RESTART_PAUSE)
         }
         cluster.queue.run(OUTAGE)
+        val naive = NaiveWatchers(size, TableFixture.configuration(UPSTREAMS, 1))
+        naive.run(WARM_UP)
+        val naiveLost = naive.restartAllWithoutStore(RESTART_PAUSE)
         val lost = cluster.up.count { it.sync.revisions.pools != expected }
         measurements.add(Measurement("slowest start without the store at $size", "s", null, seconds(slowest)))
-        measurements.add(Measurement("without tables after restart of all $size", "", size.toDouble(), lost.toDouble()))
+        measurements.add(Measurement("without tables after restart of all $size", "", naiveLost.toDouble(), lost.toDouble()))
         if (lost > 0) violations.add("$lost of $size instances lost the tables during the outage")
         cluster.store.isDown = false
         cluster.queue.run(BACKOFF)
@@ -94,10 +114,6 @@
         const val CHANGES = 5
         const val SMALL_FLEET = 50
         const val SMALL_DOMAINS = 3
-
-        /** A watch per instance tells each of them directly and ends every 30 s. */
-        const val NAIVE_SECONDS = 0.005
-        const val NAIVE_SLOPE = 1.0
         val RESTARTED_SIZES = listOf(9, 50)
         val WARM_UP: Duration = Duration.ofSeconds(5)
         val SETTLE: Duration = Duration.ofSeconds(3)
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/LoopbackMembership.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/LoopbackMembership.kt
@@ -74,7 +74,13 @@
 
     private fun plane(index: Int, store: HttpObjectStore, list: InstanceList): ControlPlane =
         ControlPlane(
-            settings = ControlSettings(ControlNode.SITE, InstanceId("loop-%02d".format(index)), FailureDomain("zone-${index % 3}"), "127.0.0.1", seed = index.toLong()),
+            settings = ControlSettings(
+                ControlNode.SITE,
+                InstanceId("loop-%02d".format(index)),
+                FailureDomain("zone-${index % 3}"),
+                "127.0.0.1",
+                seed = index.toLong(),
+            ),
             keys = { keys },
             store = store,
             instances = list,
