--- a/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerCodec.kt
+++ b/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerCodec.kt
@@ -8,7 +8,6 @@
 import io.buckthornlever.api.connection.PeerRejection
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.core.process.membership.PeerMessage
-import kotlinx.serialization.KSerializer
 
 /** Turns messages into authenticated bytes and back; drops and counts what fails a check. Safe for use by several threads. */
 public class PeerCodec(
@@ -27,25 +26,25 @@
 
     /** Datagram for [to]; null when the message is larger than [MAX_DATAGRAM_BYTES]. */
     public fun datagram(to: InstanceId, message: PeerMessage): ByteArray? =
-        sealed(to, PeerMessage.serializer(), message, MAX_DATAGRAM_BYTES)
+        sealed(to, PeerCbor.encode(PeerMessage.serializer(), message), MAX_DATAGRAM_BYTES)
 
     /** Frame for [to] without its length; null when the message is larger than [MAX_FRAME_BYTES]. */
-    public fun frame(to: InstanceId, message: BulkMessage): ByteArray? = sealed(to, BulkMessage.serializer(), message, MAX_FRAME_BYTES)
+    public fun frame(to: InstanceId, message: BulkMessage): ByteArray? =
+        sealed(to, Compression.deflate(PeerCbor.encode(BulkMessage.serializer(), message)), MAX_FRAME_BYTES)
 
     /** Checks and decodes a datagram. */
     public fun openDatagram(bytes: ByteArray): Result<Received<PeerMessage>, PeerRejection> =
-        open(bytes, PeerMessage.serializer(), MAX_DATAGRAM_BYTES)
+        open(bytes, MAX_DATAGRAM_BYTES) { PeerCbor.decode(PeerMessage.serializer(), it) }
 
     /** Checks and decodes a frame. */
     public fun openFrame(bytes: ByteArray): Result<Received<BulkMessage>, PeerRejection> =
-        open(bytes, BulkMessage.serializer(), MAX_FRAME_BYTES)
+        open(bytes, MAX_FRAME_BYTES) { payload -> Compression.inflate(payload)?.let { PeerCbor.decode(BulkMessage.serializer(), it) } }
 
-    private fun <T : Any> sealed(to: InstanceId, serializer: KSerializer<T>, message: T, limit: Int): ByteArray? =
-        seal.seal(to, PeerCbor.encode(serializer, message)).takeIf { it.size <= limit }
+    private fun sealed(to: InstanceId, payload: ByteArray, limit: Int): ByteArray? = seal.seal(to, payload).takeIf { it.size <= limit }
 
-    private fun <T : Any> open(bytes: ByteArray, serializer: KSerializer<T>, limit: Int): Result<Received<T>, PeerRejection> =
+    private fun <T : Any> open(bytes: ByteArray, limit: Int, decode: (ByteArray) -> T?): Result<Received<T>, PeerRejection> =
         seal.open(bytes, limit).andThen { opened ->
-            val message = PeerCbor.decode(serializer, opened.payload)
+            val message = decode(opened.payload)
             if (message == null) Err(PeerRejection.MALFORMED) else Ok(Received(opened.sender, message))
         }.onFailure { counters.reject(it) }
 
--- a/buckthornlever-peer/src/test/kotlin/io/buckthornlever/peer/process/PeerCodecTest.kt
+++ b/buckthornlever-peer/src/test/kotlin/io/buckthornlever/peer/process/PeerCodecTest.kt
@@ -119,7 +119,8 @@
         val sealed = seal.seal(b, payload)
         val asDatagram = Peers.codec("b").openDatagram(sealed)
         assertTrue(asDatagram.get() != null || asDatagram.getError() == PeerRejection.MALFORMED)
-        val asFrame = Peers.codec("b").openFrame(sealed)
+        val framed = if (random.nextBoolean()) seal.seal(b, Compression.deflate(payload)) else seal.seal(b, payload)
+        val asFrame = Peers.codec("b").openFrame(framed)
         assertTrue(asFrame.get() != null || asFrame.getError() == PeerRejection.MALFORMED)
     }
 
--- a/buckthornlever-peer/src/test/kotlin/io/buckthornlever/peer/process/PeerSocketsTest.kt
+++ b/buckthornlever-peer/src/test/kotlin/io/buckthornlever/peer/process/PeerSocketsTest.kt
@@ -15,6 +15,7 @@
 import java.time.Duration
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -65,8 +66,8 @@
         val a = node("a")
         val b = node("b", members)
         assertEquals(BulkMessage.MemberList(members, emptyList()), a.sockets.request(b.address, BulkMessage.MemberPull, timeout).get())
-        assertEquals(BulkMessage.Alive, a.sockets.request(b.address, BulkMessage.Opaque("job", ByteArray(1_000_000)), timeout).get())
-        val tooLarge = a.sockets.request(b.address, BulkMessage.Opaque("job", ByteArray(1_048_576)), timeout).getError()
+        assertEquals(BulkMessage.Alive, a.sockets.request(b.address, BulkMessage.Opaque("job", Random(1).nextBytes(1_000_000)), timeout).get())
+        val tooLarge = a.sockets.request(b.address, BulkMessage.Opaque("job", Random(1).nextBytes(1_048_576)), timeout).getError()
         assertEquals(PeerError.Rejected(PeerRejection.OVERSIZED), tooLarge)
     }
 
