--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/connection/CacheEvent.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/connection/CacheEvent.kt
@@ -1,17 +1,14 @@
 package io.buckthornlever.api.connection
 
-import kotlinx.serialization.Serializable
-
 /**
  * Change of an engine's prefix cache; events arrive late and with gaps.
  *
  * @property sequence position in the engine's stream of events; a gap means lost events
- * @property block hash of the prefix block
- * @property stored true when the block was stored, false when it was evicted
+ * @property kind what happened to the blocks, in the engine's words
+ * @property blocks hashes of prefix blocks
  */
-@Serializable
 public data class CacheEvent(
     val sequence: Long,
-    val block: String,
-    val stored: Boolean,
+    val kind: String,
+    val blocks: List<String>,
 )
--- /dev/null
+++ b/buckthornlever-platform/src/main/kotlin/io/buckthornlever/platform/process/HttpCloudApi.kt
@@ -0,0 +1,85 @@
+package io.buckthornlever.platform.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import io.buckthornlever.api.process.CloudApi
+import io.buckthornlever.api.process.CloudInstance
+import io.buckthornlever.api.process.CloudNotice
+import io.buckthornlever.api.process.CloudPrice
+import io.buckthornlever.api.process.CloudStartRequest
+import io.buckthornlever.api.process.PlatformError
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import okhttp3.Request
+import java.time.Duration
+
+/** The cloud API over HTTP. [baseUrl] has no trailing slash. */
+public class HttpCloudApi(
+    private val baseUrl: String,
+    timeout: Duration = CALL_TIMEOUT,
+) : CloudApi {
+    private val http = JsonHttp(timeout)
+
+    override fun start(request: CloudStartRequest): Result<CloudInstance, PlatformError> {
+        val body = http.body(CloudStartRequest.serializer(), request)
+        return http.call(Request.Builder().url(baseUrl + INSTANCES).post(body).build()) {
+            JsonHttp.JSON.decodeFromString(CloudInstance.serializer(), it.body.string())
+        }
+    }
+
+    override fun stop(instanceId: String): Result<Unit, PlatformError> {
+        val answer = http.call(Request.Builder().url("$baseUrl$INSTANCES/$instanceId").delete().build()) { }
+        // An instance that is already gone has been stopped.
+        return answer.fold(success = { Ok(it) }, failure = { if (it == PlatformError.Refused("status 404")) Ok(Unit) else Err(it) })
+    }
+
+    override fun instances(): Result<List<CloudInstance>, PlatformError> =
+        read(baseUrl + INSTANCES, WireInstances.serializer()).map { it.instances }
+
+    override fun notices(since: Long): Result<List<CloudNotice>, PlatformError> =
+        read("$baseUrl/v1/cloud/notices?since=$since", WireNotices.serializer()).map { all ->
+            all.notices.map { CloudNotice(it.sequence, it.instanceId, it.endsAt) }
+        }
+
+    override fun prices(): Result<List<CloudPrice>, PlatformError> =
+        read("$baseUrl/v1/cloud/prices", WirePrices.serializer()).map { it.prices }
+
+    private fun <T> read(
+        url: String,
+        serializer: KSerializer<T>,
+    ): Result<T, PlatformError> = http.call(Request.Builder().url(url).build()) {
+        JsonHttp.JSON.decodeFromString(serializer, it.body.string())
+    }
+
+    @Serializable
+    private class WireInstances(
+        val instances: List<CloudInstance>,
+    )
+
+    @Serializable
+    private class WireNotice(
+        @SerialName("seq")
+        val sequence: Long,
+        val instanceId: String,
+        val endsAt: String,
+    )
+
+    @Serializable
+    private class WireNotices(
+        val notices: List<WireNotice>,
+    )
+
+    @Serializable
+    private class WirePrices(
+        val prices: List<CloudPrice>,
+    )
+
+    private companion object {
+        const val INSTANCES = "/v1/cloud/instances"
+        val CALL_TIMEOUT: Duration = Duration.ofSeconds(3)
+    }
+}
--- /dev/null
+++ b/buckthornlever-platform/src/main/kotlin/io/buckthornlever/platform/process/HttpWeightStore.kt
@@ -0,0 +1,30 @@
+package io.buckthornlever.platform.process
+
+import com.github.michaelbull.result.Result
+import io.buckthornlever.api.process.PlatformError
+import io.buckthornlever.api.process.WeightStore
+import io.buckthornlever.api.version.VersionLabel
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.Request
+import java.time.Duration
+
+/** The weight store over HTTP. [baseUrl] has no trailing slash. */
+public class HttpWeightStore(
+    private val baseUrl: String,
+    timeout: Duration = CALL_TIMEOUT,
+) : WeightStore {
+    private val http = JsonHttp(timeout)
+
+    override fun fetch(
+        model: String,
+        version: VersionLabel,
+    ): Result<ByteArray, PlatformError> {
+        val url = "$baseUrl/v1/weights".toHttpUrl().newBuilder().addPathSegment(model).addPathSegment(version.value).build()
+        return http.call(Request.Builder().url(url).build()) { it.body.bytes() }
+    }
+
+    private companion object {
+        /** Weights are large; the store limits calls, not bytes. */
+        val CALL_TIMEOUT: Duration = Duration.ofMinutes(5)
+    }
+}
--- /dev/null
+++ b/buckthornlever-platform/src/main/kotlin/io/buckthornlever/platform/process/JsonHttp.kt
@@ -0,0 +1,61 @@
+package io.buckthornlever.platform.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.buckthornlever.api.process.PlatformError
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import java.io.IOException
+import java.time.Duration
+
+/** Calls of the platform's JSON services with errors mapped to [PlatformError]. */
+internal class JsonHttp(
+    timeout: Duration,
+) {
+    // A hidden repetition could carry out a start twice where the service ignores request ids.
+    private val client = OkHttpClient.Builder().callTimeout(timeout).retryOnConnectionFailure(false).build()
+
+    /** Executes [request] and reads its answer with [read]. */
+    fun <T> call(
+        request: Request,
+        read: (Response) -> T,
+    ): Result<T, PlatformError> =
+        try {
+            client.newCall(request).execute().use { response ->
+                if (response.isSuccessful) Ok(read(response)) else Err(error(response))
+            }
+        } catch (e: IOException) {
+            Err(PlatformError.Unavailable(e.message ?: e.javaClass.simpleName))
+        } catch (e: SerializationException) {
+            Err(PlatformError.Unavailable("unreadable response: ${e.message}"))
+        }
+
+    fun <T> body(
+        serializer: KSerializer<T>,
+        value: T,
+    ): RequestBody = JSON.encodeToString(serializer, value).toRequestBody(JSON_TYPE)
+
+    private fun error(response: Response): PlatformError =
+        when (response.code) {
+            429 -> PlatformError.RateLimited(Duration.ofSeconds(response.header("Retry-After")?.toLongOrNull() ?: 1))
+            in 400..499 -> PlatformError.Refused("status ${response.code}")
+            else -> PlatformError.Unavailable("status ${response.code}")
+        }
+
+    companion object {
+        val JSON: Json =
+            Json {
+                ignoreUnknownKeys = true
+                encodeDefaults = true
+            }
+        private val JSON_TYPE = "application/json".toMediaType()
+    }
+}
--- /dev/null
+++ b/buckthornlever-platform/src/test/kotlin/io/buckthornlever/platform/process/HttpCloudApiTest.kt
@@ -0,0 +1,74 @@
+package io.buckthornlever.platform.process
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.buckthornlever.api.process.CloudInstanceKind
+import io.buckthornlever.api.process.CloudNotice
+import io.buckthornlever.api.process.CloudStartRequest
+import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.process.PlatformError
+import io.buckthornlever.api.version.VersionLabel
+import mockwebserver3.MockResponse
+import mockwebserver3.MockWebServer
+import mockwebserver3.SocketEffect
+import org.junit.jupiter.api.AfterEach
+import java.time.Duration
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class HttpCloudApiTest {
+    private val server = MockWebServer().apply { start() }
+    private val url = "http://127.0.0.1:${server.port}"
+    private val cloud = HttpCloudApi(url, Duration.ofSeconds(2))
+    private val request = CloudStartRequest("models/7", FailureDomain("d0"), "large", CloudInstanceKind.ON_DEMAND)
+
+    @AfterEach
+    fun close() = server.close()
+
+    private fun answer(
+        status: Int,
+        body: String = "",
+    ) = server.enqueue(MockResponse.Builder().code(status).setHeader("Retry-After", "3").body(body).build())
+
+    @Test
+    fun `a start carries the request id and the terms as the wire format names them`() {
+        answer(
+            201,
+            """{"id":"i-1","requestId":"models/7","failureDomain":"d0","machineClass":"large","kind":"on-demand","state":"starting"}""",
+        )
+        assertEquals("i-1" to "models/7", cloud.start(request).get()?.let { it.id to it.requestId })
+        val sent = server.takeRequest().body?.utf8().orEmpty()
+        assertTrue(""""requestId":"models/7"""" in sent && """"kind":"on-demand"""" in sent, sent)
+    }
+
+    @Test
+    fun `a refused start is told apart from one whose outcome is unknown`() {
+        answer(409)
+        assertIs<PlatformError.Refused>(cloud.start(request).getError())
+        server.enqueue(MockResponse.Builder().onRequestBody(SocketEffect.CloseSocket()).build())
+        assertIs<PlatformError.Unavailable>(cloud.start(request).getError())
+        assertEquals(2, server.requestCount, "no hidden repetition")
+    }
+
+    @Test
+    fun `stopping an instance that is already gone succeeds`() {
+        answer(404)
+        assertEquals(Unit, cloud.stop("i-1").get())
+    }
+
+    @Test
+    fun `notices are read from the given position`() {
+        answer(200, """{"next":5,"notices":[{"seq":5,"instanceId":"i-1","failureDomain":"d0","endsAt":"2026-01-01T00:00:00Z"}]}""")
+        assertEquals(listOf(CloudNotice(5, "i-1", "2026-01-01T00:00:00Z")), cloud.notices(4).get())
+        assertEquals("/v1/cloud/notices?since=4", server.takeRequest().target)
+    }
+
+    @Test
+    fun `the weight store's wait is passed on`() {
+        answer(429)
+        val error = HttpWeightStore(url).fetch("course", VersionLabel("v1")).getError()
+        assertEquals(PlatformError.RateLimited(Duration.ofSeconds(3)), error)
+    }
+}
