--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/FailureDomains.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/FailureDomains.kt
@@ -63,6 +63,12 @@
         available: Int,
     ): Boolean = used < available * reservedBelow(work)
 
+    /** Whether [upstream] is stopped or bears less than its full load; false while nothing is known of it. */
+    public fun limited(upstream: UpstreamId): Boolean {
+        val life = upstreams[upstream] ?: return false
+        return stopped(upstream) || life.known && life.phase != UpstreamPhase.LIVE
+    }
+
     /** Phase of [upstream]; null when the pool table does not list it. */
     public fun phase(upstream: UpstreamId): UpstreamPhase? = upstreams[upstream]?.phase
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/UpstreamLifecycle.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/UpstreamLifecycle.kt
@@ -13,7 +13,10 @@
 ) {
     var phase = UpstreamPhase.COLD
         private set
-    private var known = false
+
+    /** True once the upstream has reported its load. */
+    var known = false
+        private set
     private var ramp = 1
     private var since: Instant = Instant.MIN
     private var failures = 0
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveStatus.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveStatus.kt
@@ -26,8 +26,8 @@
     /** The newer of two records of the same move; commutative and idempotent. A rollback is never undone. */
     public fun merge(other: MoveStatus): MoveStatus = maxOf(this, other, ORDER)
 
-    private companion object {
-        val ORDER: Comparator<MoveStatus> =
+    public companion object {
+        private val ORDER: Comparator<MoveStatus> =
             compareBy<MoveStatus> { it.state }
                 .thenBy { it.fencing }
                 .thenBy { it.sequence }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/connection/LoadPoller.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/connection/LoadPoller.kt
@@ -3,7 +3,9 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.buckthornlever.api.connection.UpstreamClient
+import io.buckthornlever.api.connection.UpstreamId
 import io.buckthornlever.api.process.UpstreamSpec
+import io.buckthornlever.core.process.UpstreamEvent
 import io.buckthornlever.daemon.process.ConfigurationHolder
 import io.buckthornlever.daemon.process.EventLog
 import io.buckthornlever.daemon.process.LogEvent
@@ -18,6 +20,7 @@
     private val configuration: ConfigurationHolder,
     private val upstreams: UpstreamRegistry,
     private val log: EventLog,
+    private val events: (UpstreamId, UpstreamEvent) -> Unit = { _, _ -> },
 ) : AutoCloseable {
     private val timer = Executors.newSingleThreadScheduledExecutor { daemonThread(it, "load-timer") }
     private val workers = Executors.newFixedThreadPool(WORKERS) { daemonThread(it, "load-poller") }
@@ -45,8 +48,10 @@
                 .load(spec)
                 .onSuccess {
                     state.report = it
+                    events(spec.id, UpstreamEvent.Reported(it.capacity, it.cold, it.leaving))
                     if (state.succeeded()) log.write(LogEvent.UPSTREAM_HEALTHY, "upstream" to spec.id)
                 }.onFailure {
+                    events(spec.id, UpstreamEvent.Failed)
                     if (state.failed()) log.write(LogEvent.UPSTREAM_SUSPECT, "upstream" to spec.id, "error" to it)
                 }
         } finally {
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
@@ -3,6 +3,7 @@
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.process.Configuration
 import io.buckthornlever.core.request.LeastLoadedSelector
+import io.buckthornlever.daemon.connection.LimitedStatusView
 import io.buckthornlever.daemon.connection.LoadPoller
 import io.buckthornlever.daemon.connection.UpstreamRegistry
 import io.buckthornlever.daemon.process.control.ControlDump
@@ -18,6 +19,11 @@
 import io.buckthornlever.daemon.request.OnceRunner
 import io.buckthornlever.daemon.request.PlainRelay
 import io.buckthornlever.daemon.request.RequestPipeline
+import io.buckthornlever.daemon.version.MoveExchange
+import io.buckthornlever.daemon.version.MoveSelector
+import io.buckthornlever.daemon.version.OutcomeRecorder
+import io.buckthornlever.daemon.version.StatusStore
+import io.buckthornlever.daemon.version.TrafficControl
 import io.buckthornlever.platform.connection.HttpUpstreamClient
 import io.buckthornlever.platform.process.HttpInstanceList
 import io.buckthornlever.platform.process.HttpObjectStore
@@ -41,8 +47,20 @@
     private val client = HttpUpstreamClient()
     private val store = HttpObjectStore(settings.platform.objectStoreUrl)
     private val background = BackgroundTasks(log)
-    private val attempts = AttemptRunner(client, upstreams, metrics, log)
-    private val selector = LeastLoadedSelector(upstreams)
+    private val traffic =
+        TrafficControl(
+            settings.instance.id,
+            clock,
+            configuration,
+            StatusStore(store),
+            MoveExchange(settings.instance.id) { control },
+            { control },
+            log,
+        )
+    private val attempts =
+        AttemptRunner(client, upstreams, metrics, log, clock, OutcomeRecorder(configuration::get, traffic))
+    private val selector =
+        MoveSelector(settings.instance.id, LeastLoadedSelector(LimitedStatusView(upstreams) { traffic.snapshot })) { traffic.snapshot }
     private val pipeline =
         RequestPipeline(
             configuration = configuration,
@@ -68,7 +86,7 @@
             listener = ControlReporter(configuration, log),
             failed = { log.failure(LogEvent.INTERNAL_ERROR, it) },
         )
-    private val poller = LoadPoller(client, configuration, upstreams, log)
+    private val poller = LoadPoller(client, configuration, upstreams, log, traffic::observe)
     private val callers = CallerServer(settings, pipeline)
     private val operators =
         OperatorServer(
@@ -104,6 +122,7 @@
         peerKeys.get()
         control.start()
         control.joinLease(CONTROL_LEASE)
+        traffic.start()
         poller.start()
         log.write(LogEvent.STARTED, "callers" to callerUrl, "operators" to operatorUrl, "site" to settings.site)
     }
@@ -117,6 +136,7 @@
         if (pipeline.openRequests > 0) log.write(LogEvent.SHUTDOWN_GRACE_OVER, "open" to pipeline.openRequests)
         background.drain(BACKGROUND_DRAIN)
         background.close()
+        traffic.close()
         control.resign(CONTROL_LEASE)
         control.close()
         poller.close()
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/LogEvent.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/LogEvent.kt
@@ -27,5 +27,8 @@
     LEASE_GAINED("BL-1403", Level.INFO, "lease gained"),
     LEASE_LOST("BL-1404", Level.INFO, "lease lost"),
     PEER_KEYS_REFUSED("BL-1405", Level.ERROR, "peer key file refused; the previous keys stay in effect"),
+    MOVE_DONE("BL-1501", Level.INFO, "version move done"),
+    MOVE_ROLLED_BACK("BL-1502", Level.WARN, "version move rolled back"),
+    VERSION_STOPPED("BL-1503", Level.WARN, "version gets no more traffic"),
     INTERNAL_ERROR("BL-1901", Level.ERROR, "unexpected error"),
 }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/AttemptRunner.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/AttemptRunner.kt
@@ -5,13 +5,17 @@
 import com.github.michaelbull.result.onSuccess
 import io.buckthornlever.api.connection.UpstreamClient
 import io.buckthornlever.api.connection.UpstreamError
+import io.buckthornlever.api.connection.UpstreamId
 import io.buckthornlever.api.connection.UpstreamRequest
 import io.buckthornlever.api.connection.UpstreamResponse
+import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.process.UpstreamSpec
 import io.buckthornlever.daemon.connection.UpstreamRegistry
 import io.buckthornlever.daemon.process.DaemonMetrics
 import io.buckthornlever.daemon.process.EventLog
 import io.buckthornlever.daemon.process.LogEvent
+import io.buckthornlever.daemon.version.OutcomeRecorder
+import java.time.Duration
 
 /** Makes single calls to upstreams and keeps the upstreams' states up to date. */
 internal class AttemptRunner(
@@ -19,7 +23,17 @@
     private val upstreams: UpstreamRegistry,
     private val metrics: DaemonMetrics,
     private val log: EventLog,
+    private val clock: Clock,
+    private val recorder: OutcomeRecorder,
 ) {
+    /** The attempt that the thread is making; tells [run] of failures that show after the head of the answer. */
+    private class Attempt(
+        val upstream: UpstreamId,
+        var failed: Boolean = false,
+    )
+
+    private val current = ThreadLocal<Attempt>()
+
     /** Calls [upstream] and hands the answer to [use]; the call counts as in flight until [use] returns. */
     fun <T> run(
         upstream: UpstreamSpec,
@@ -27,15 +41,23 @@
         use: (Result<UpstreamResponse, UpstreamError>) -> T,
     ): T {
         val state = upstreams.stateOf(upstream)
+        val load = upstreams.statusOf(upstream)
+        val attempt = Attempt(upstream.id)
+        val start = clock.monotonicNanos()
+        current.set(attempt)
         state.inFlight.incrementAndGet()
         try {
             val result = client.call(upstream, request)
             result
                 .onSuccess { metrics.attempts.labelValues("answered").inc() }
                 .onFailure { failed(upstream, it) }
-            return use(result)
+            val used = use(result)
+            val latency = Duration.ofNanos(clock.monotonicNanos() - start)
+            recorder.ended(upstream, request, result, attempt.failed, latency, load)
+            return used
         } finally {
             state.inFlight.decrementAndGet()
+            current.remove()
         }
     }
 
@@ -44,6 +66,7 @@
         upstream: UpstreamSpec,
         error: UpstreamError,
     ) {
+        current.get()?.takeIf { it.upstream == upstream.id }?.failed = true
         metrics.attempts.labelValues(error.javaClass.simpleName.lowercase()).inc()
         if (upstreams.stateOf(upstream).failed()) log.write(LogEvent.UPSTREAM_SUSPECT, "upstream" to upstream.id, "error" to error)
     }
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/MoveMessages.kt
@@ -0,0 +1,14 @@
+package io.buckthornlever.daemon.version
+
+import io.buckthornlever.core.version.EvidenceDelta
+import io.buckthornlever.core.version.MoveStatus
+import io.buckthornlever.core.version.StopVersion
+import kotlinx.serialization.Serializable
+
+/** Facts about version moves that one entry instance sends to another. */
+@Serializable
+internal data class MoveMessages(
+    val evidence: List<EvidenceDelta> = emptyList(),
+    val stops: List<StopVersion> = emptyList(),
+    val statuses: List<MoveStatus> = emptyList(),
+)
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/StatusStore.kt
@@ -0,0 +1,45 @@
+package io.buckthornlever.daemon.version
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import io.buckthornlever.api.process.ObjectStore
+import io.buckthornlever.api.process.StoreError
+import io.buckthornlever.core.version.MoveCommand
+import io.buckthornlever.core.version.MoveStatus
+import io.buckthornlever.core.version.VersionMoves
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** Reads and writes records of moves; each call returns what has to be told to the state machine. */
+internal class StatusStore(
+    private val store: ObjectStore,
+) {
+    fun read(command: MoveCommand.ReadStatus): (VersionMoves) -> Unit =
+        store.get(command.key).fold(
+            success = { found -> { moves -> moves.statusRead(command.pool, decode(found.value), found.version) } },
+            failure = { error -> { moves -> if (error == StoreError.NotFound) moves.statusRead(command.pool, null, null) } },
+        )
+
+    fun write(command: MoveCommand.WriteStatus): (VersionMoves) -> Unit {
+        val text = JSON.encodeToString(MoveStatus.serializer(), command.status)
+        val expected = command.expected
+        val result = if (expected == null) store.create(command.key, text) else store.update(command.key, text, expected)
+        return { moves -> moves.statusWritten(command.status, result.get()) }
+    }
+
+    // A record that cannot be read is replaced; it cannot have let the share of traffic grow.
+    private fun decode(text: String?): MoveStatus? =
+        try {
+            text?.let { JSON.decodeFromString(MoveStatus.serializer(), it) }
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private companion object {
+        val JSON =
+            Json {
+                encodeDefaults = true
+                ignoreUnknownKeys = true
+            }
+    }
+}
--- /dev/null
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/TrafficControl.kt
@@ -0,0 +1,161 @@
+package io.buckthornlever.daemon.version
+
+import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.process.Clock
+import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.core.process.FailureDomains
+import io.buckthornlever.core.process.LimitPartition
+import io.buckthornlever.core.process.UpstreamEvent
+import io.buckthornlever.core.version.HeldLease
+import io.buckthornlever.core.version.MoveCommand
+import io.buckthornlever.core.version.MoveState
+import io.buckthornlever.core.version.MoveStatus
+import io.buckthornlever.core.version.Outcome
+import io.buckthornlever.core.version.StopVersion
+import io.buckthornlever.core.version.VersionMoves
+import io.buckthornlever.daemon.process.ConfigurationHolder
+import io.buckthornlever.daemon.process.Daemon
+import io.buckthornlever.daemon.process.EventLog
+import io.buckthornlever.daemon.process.LogEvent
+import io.buckthornlever.daemon.process.control.ControlPlane
+import org.jctools.queues.MpscArrayQueue
+import java.time.Duration
+import java.time.Instant
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/**
+ * Owns version moves and failure domains on one thread, which never waits for the network. Other threads hand in events through a
+ * bounded queue, whose overflow is dropped, and read the published [snapshot].
+ */
+internal class TrafficControl(
+    private val self: InstanceId,
+    private val clock: Clock,
+    private val configuration: ConfigurationHolder,
+    private val statuses: StatusStore,
+    private val exchange: MoveExchange,
+    private val control: () -> ControlPlane,
+    private val log: EventLog,
+) : AutoCloseable {
+    private val moves = VersionMoves(self)
+    private val domains = FailureDomains()
+    private val inbox = MpscArrayQueue<() -> Unit>(INBOX)
+    private val loop = Executors.newSingleThreadScheduledExecutor { Thread(it, "traffic-control").apply { isDaemon = true } }
+    private val storeCalls = Executors.newSingleThreadExecutor { Thread(it, "traffic-store").apply { isDaemon = true } }
+    private var poolsRevision = -1L
+    private var stopped = emptySet<StopVersion>()
+
+    /** Decisions in effect. */
+    @Volatile
+    var snapshot: TrafficSnapshot = TrafficSnapshot()
+        private set
+
+    fun start() {
+        exchange.start { messages -> hand { merge(messages) } }
+        loop.scheduleWithFixedDelay(::guardedTick, 0, TICK.toMillis(), TimeUnit.MILLISECONDS)
+    }
+
+    override fun close() {
+        loop.shutdownNow()
+        storeCalls.shutdownNow()
+        exchange.close()
+    }
+
+    /** Counts the result of an attempt. */
+    fun observe(outcome: Outcome) = hand { moves.observe(outcome, clock.now()) }
+
+    /** Takes note of [event] at [upstream]. */
+    fun observe(
+        upstream: UpstreamId,
+        event: UpstreamEvent,
+    ) = hand { domains.on(upstream, event, clock.now()) }
+
+    private fun merge(messages: MoveMessages) {
+        messages.evidence.forEach { moves.mergeEvidence(it, clock.now()) }
+        messages.stops.forEach(moves::mergeStop)
+        messages.statuses.forEach(moves::mergeStatus)
+    }
+
+    private fun hand(event: () -> Unit) {
+        inbox.offer(event)
+    }
+
+    private fun guardedTick() {
+        try {
+            tick()
+        } catch (e: RuntimeException) {
+            // The executor would silently end the loop.
+            log.failure(LogEvent.INTERNAL_ERROR, e, "thread" to "traffic-control")
+        }
+    }
+
+    private fun tick() {
+        val now = clock.now()
+        val pools = configuration.get().pools
+        if (pools.revision != poolsRevision) {
+            poolsRevision = pools.revision
+            moves.configure(pools)
+            domains.configure(pools, now)
+        }
+        inbox.drain { it() }
+        domains.tick(now)
+        val commands = moves.tick(now, lease(now))
+        commands.forEach(::execute)
+        send(commands)
+        announceStops()
+        val instances = control().live.map { it.id }.ifEmpty { listOf(self) }
+        val limits =
+            pools.pools
+                .flatMap { it.upstreams }
+                .filter { domains.limited(it.id) }
+                .associate { it.id to LimitPartition.share(domains.limit(it.id), it.id, self, instances) }
+        snapshot = TrafficSnapshot(moves.weights(now), limits)
+    }
+
+    private fun execute(command: MoveCommand) {
+        when (command) {
+            is MoveCommand.SendEvidence, is MoveCommand.SpreadStop, is MoveCommand.SpreadStatus -> Unit
+            is MoveCommand.ReadStatus -> callStore { statuses.read(command) }
+            is MoveCommand.WriteStatus -> callStore { statuses.write(command) }
+            is MoveCommand.ReportEnd -> report(command.status)
+        }
+    }
+
+    private fun send(commands: List<MoveCommand>) {
+        val evidence = commands.filterIsInstance<MoveCommand.SendEvidence>().map { it.delta }
+        val stops = commands.filterIsInstance<MoveCommand.SpreadStop>().map { it.stop }
+        val records = commands.filterIsInstance<MoveCommand.SpreadStatus>().map { it.status }
+        if (evidence.isNotEmpty() || stops.isNotEmpty() || records.isNotEmpty()) exchange.send(MoveMessages(evidence, stops, records))
+    }
+
+    /** The lease in wall-clock time, which the state machines use for schedules. */
+    private fun lease(now: Instant): HeldLease? {
+        val permit = control().permit(Daemon.CONTROL_LEASE, honoursFencing = true) ?: return null
+        return HeldLease(permit.fencing, now.plusNanos(permit.notAfterNanos - clock.monotonicNanos()))
+    }
+
+    private fun callStore(call: () -> (VersionMoves) -> Unit) {
+        storeCalls.execute {
+            val tell = call()
+            hand { tell(moves) }
+        }
+    }
+
+    private fun report(status: MoveStatus) {
+        val event = if (status.state == MoveState.DONE) LogEvent.MOVE_DONE else LogEvent.MOVE_ROLLED_BACK
+        log.write(event, "pool" to status.move.pool, "version" to status.move.to, "reasons" to status.reasons.joinToString())
+    }
+
+    private fun announceStops() {
+        val current = moves.stops().toSet()
+        current.filter { stop -> stopped.none { it.move == stop.move } }.forEach {
+            log.write(LogEvent.VERSION_STOPPED, "pool" to it.move.pool, "version" to it.move.to, "by" to it.raisedBy, "reason" to it.reason)
+        }
+        stopped = current
+    }
+
+    private companion object {
+        const val INBOX = 8_192
+        val TICK: Duration = Duration.ofMillis(100)
+    }
+}
