Keep cold upstreams within their capacity and add the remaining experiments

Causes in the router: a new entry instance took an upstream for warm until its first report arrived; owners of units filled them while requests from the warm time, or of an instance that had left, still ran. Now an upstream without a report counts as cold, only the rest of the limit is divided until the old requests have ended, and a share grows after a departure only once the longest request is over. Cause in the experiment: entry instances that had been removed went on dispatching.

--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -3,10 +3,12 @@
 import io.buckthornlever.bench.process.control.ConfigurationExperiment
 import io.buckthornlever.bench.process.control.MembershipExperiment
 import io.buckthornlever.bench.request.AtMostOnceExperiment
+import io.buckthornlever.bench.request.ColdStartExperiment
 import io.buckthornlever.bench.request.CrashRequestExperiment
 import io.buckthornlever.bench.request.ForwardExperiment
 import io.buckthornlever.bench.request.LocalityExperiment
 import io.buckthornlever.bench.request.OverloadExperiment
+import io.buckthornlever.bench.request.RoutingDecisionExperiment
 import io.buckthornlever.bench.request.StreamExperiment
 import io.buckthornlever.bench.version.VersionMoveExperiment
 
@@ -27,6 +29,8 @@
             VersionMoveExperiment(),
             DomainExperiment(),
             CapacityExperiment(),
+            ColdStartExperiment(),
+            RoutingDecisionExperiment(),
         )
 
     /** The experiment called [name], or null. */
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/SimulatedEntry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/SimulatedEntry.kt
@@ -32,8 +32,12 @@
         enqueue(call)
     }
 
+    /** Set when the instance has died: it starts nothing any more. */
+    var dead: Boolean = false
+
     /** Starts what can be started; to be called when a place may have become free. */
     fun poll() {
+        if (dead) return
         for (event in queue.poll(::select)) {
             val call = calls.getValue(event.request.id)
             when (event) {
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/SimulatedSite.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/SimulatedSite.kt
@@ -63,6 +63,12 @@
         return entry
     }
 
+    /** Ends an entry instance; what it has dispatched still runs. */
+    fun removeEntry(entry: SimulatedEntry) {
+        entry.dead = true
+        entries.remove(entry)
+    }
+
     /** Hands [call] to a random entry instance, as the platform's load balancer does. */
     fun arrive(call: SimulatedCall) = entries.random(random).accept(call)
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/ColdStartShares.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/ColdStartShares.kt
@@ -24,7 +24,7 @@
     private var generation = 0
 
     /** An instance that has just started has no share until every other one has learned of it. */
-    private val waitUntil = startNanos + settings.startHold.toNanos()
+    internal val waitUntil: Long = startNanos + settings.startHold.toNanos()
     private var waiting = true
 
     /** Live entry instances, at least this one. */
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/UpstreamRuntime.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/UpstreamRuntime.kt
@@ -6,21 +6,26 @@
 import io.buckthornlever.core.request.PriceTier
 import kotlin.math.floor
 
-/** What this instance knows about one upstream; survives changes of the configuration. */
+/**
+ * What this instance knows about one upstream; survives changes of the configuration. An upstream that has not reported its
+ * load yet counts as cold: either it or this instance has just started.
+ */
 internal class UpstreamRuntime(
     spec: UpstreamSpec,
     private val settings: RoutingSettings,
+    startNanos: Long,
 ) {
     val hash: Long = Mixing.hash(spec.id.value)
     val limit = AdaptiveLimit(spec.concurrency)
     private val history = InFlightHistory()
-    private var ramp: ColdStartRamp? = null
+    private var ramp: ColdStartRamp? = ColdStartRamp(spec.coldConcurrency, spec.concurrency, settings.rampInterval, startNanos)
     private var basis = ShareBasis.NONE
     private var basisGeneration = -1
     private var othersAtReport = 0
     private var reportedCapacity = Int.MAX_VALUE
     private var reportTakenAt = Long.MIN_VALUE
-    private var coldSince = Long.MIN_VALUE
+    private var coldSince = startNanos
+    private var othersIdleAt = Long.MIN_VALUE
     private var coldSigns = 0
     private var leaving = false
 
@@ -105,7 +110,9 @@
         val room = (minOf(report.capacity, spec.concurrency) - reportedLoad).toDouble()
         fairPart = maxOf(0, own + floor(room / maxOf(1, instances) + rounding).toInt())
         leaving = report.leaving
+        if (reportedLoad <= own) othersIdleAt = measuredNanos
         if (report.cold) {
+            if (report.capacity < (ramp?.total ?: 0)) coldSince = nanos
             enterRamp(nanos)
             ramp?.reported(report.capacity)
         } else if (measuredNanos >= coldSince) {
@@ -146,9 +153,23 @@
             basis = shares.basis(hash)
             basisGeneration = generation
         }
-        return basis.share(cold.total)
+        if (!mayHaveShare(shares, nanos)) return 0
+        return basis.share(if (isDrained(nanos)) cold.total else maxOf(0, cold.total - othersAtReport))
     }
 
+    /** False while requests may still run that others had started under the larger shares from before this instance joined. */
+    private fun mayHaveShare(
+        shares: ColdStartShares,
+        nanos: Long,
+    ): Boolean = othersIdleAt >= shares.waitUntil || nanos >= shares.waitUntil + settings.longestRequest.toNanos()
+
+    /**
+     * False while requests may still run that others had started before the limit shrank. Until then all load of others counts
+     * as such, and only the rest of the limit is divided; hence the sum stays within the limit whichever reports instances have.
+     */
+    private fun isDrained(nanos: Long): Boolean =
+        othersIdleAt >= coldSince + REPORT_LAG_NANOS || nanos >= coldSince + settings.longestRequest.toNanos()
+
     private fun learn(
         outcome: CallOutcome,
         inFlightBefore: Int,
@@ -186,5 +207,8 @@
     private companion object {
         /** Refusals in a row, below the known capacity, that count as having become cold; one may be an error of the estimate. */
         const val COLD_SIGNS = 3
+
+        /** Time within which every instance has learned from reports that an upstream has become cold. */
+        const val REPORT_LAG_NANOS = 2_000_000_000L
     }
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/RequestRouter.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/request/RequestRouter.kt
@@ -233,7 +233,7 @@
     }
 
     private fun runtime(spec: UpstreamSpec): UpstreamRuntime {
-        val known = upstreams.getOrPut(spec.id.value) { UpstreamRuntime(spec, settings) }
+        val known = upstreams.getOrPut(spec.id.value) { UpstreamRuntime(spec, settings, clock.monotonicNanos()) }
         known.reconfigure(spec)
         return known
     }
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/request/RequestRouterModelTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/request/RequestRouterModelTest.kt
@@ -39,6 +39,7 @@
         var out = emptyList<String>()
         val specs = models.map { Fixtures.spec(it.id, it.domain, price = 1.0 + it.id.length, concurrency = CONCURRENCY) }
         router.configure(Fixtures.configuration(specs, out))
+        specs.forEach { router.loadReported(it.id, Fixtures.report(0, CONCURRENCY, clock.now())) }
         for (step in 1..150) {
             clock.advance(Duration.ofMillis(200))
             val model = models.random(random)
