--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -5,10 +5,12 @@
 import io.buckthornlever.bench.process.control.LeaseExperiment
 import io.buckthornlever.bench.process.control.MembershipExperiment
 import io.buckthornlever.bench.request.AtMostOnceExperiment
+import io.buckthornlever.bench.request.ColdStartExperiment
 import io.buckthornlever.bench.request.CrashRequestExperiment
 import io.buckthornlever.bench.request.ForwardExperiment
 import io.buckthornlever.bench.request.LocalityExperiment
 import io.buckthornlever.bench.request.OverloadExperiment
+import io.buckthornlever.bench.request.RoutingDecisionExperiment
 import io.buckthornlever.bench.request.StreamExperiment
 import io.buckthornlever.bench.version.VersionMoveExperiment
 
@@ -32,6 +34,8 @@
             VersionMoveExperiment(),
             DomainExperiment(),
             CapacityExperiment(),
+            ColdStartExperiment(),
+            RoutingDecisionExperiment(),
         )
 
     /** The experiment called [name], or null. */
