--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/LeaseSchedule.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/LeaseSchedule.kt
@@ -60,7 +60,7 @@
     fun run(steps: Int) {
         repeat(steps) {
             millis += STEP_MILLIS
-            (0 until instances).forEach { node ->
+            for (node in 0 until instances) {
                 if (random.nextInt(PAUSE_ODDS) == 0) pausedUntil[node] = millis + random.nextLong(MAX_PAUSE_MILLIS)
                 if (millis >= pausedUntil[node]) act(node)
             }
