Drive streams, retries and the crash guard in the daemon by the core's state machines

Real-process tests with stand-ins: a crash of the engine after part of a 300-token stream yields all 300 tokens once and in order; a crashing request submitted four times costs two of four engines and is then refused with 422; 50 lookups whose every attempt fails make at most 64 attempts.

The guard counted any two upstreams that were down as possible losses, so that an unrelated request waited ten seconds; only the first two upstreams of the content's order count now, and not when a content that has cost two upstreams explains their death.

Conclusion: the bound of two upstreams holds per instance until instances exchange fingerprints; KV moves, hedges, reconnects and async jobs are decided in the core but not carried out by the daemon.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/CrashGuard.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/CrashGuard.kt
@@ -59,9 +59,11 @@
         val held = grants[fingerprint]
         if (held != null && held.attempt != attempt && held.expiresAtMillis > nowMillis) return Step(merged, CrashAdmission.Busy)
         // A preferred upstream that is down may be another loss whose cause has not been reported yet.
-        val suspected = (lost + order.filter { recentlyDown(it, nowMillis) }.take(MAX_LOST)).distinct()
+        val unexplained = order.take(MAX_LOST).filter { recentlyDown(it, nowMillis) && !merged.explained(it, fingerprint, nowMillis) }
+        val suspected = (lost + unexplained).distinct()
         if (suspected.size >= MAX_LOST) return Step(merged, CrashAdmission.Busy)
-        val target = order.firstOrNull { it !in suspected } ?: return Step(merged, CrashAdmission.NoCandidate)
+        val target =
+            order.firstOrNull { it !in suspected && !recentlyDown(it, nowMillis) } ?: return Step(merged, CrashAdmission.NoCandidate)
         val granted = merged.copy(grants = grants + (fingerprint to CrashGrant(attempt, nowMillis + timeoutMillis)))
         return Step(granted, CrashAdmission.Run(listOf(target)))
     }
@@ -115,6 +117,17 @@
         members: Collection<InstanceId>,
     ): InstanceId = RendezvousOrder.first(fingerprint.value, members) ?: self
 
+    // A content that has cost two upstreams is the cause of their deaths; other contents on them are not.
+    private fun explained(
+        upstream: UpstreamId,
+        fingerprint: Fingerprint,
+        nowMillis: Long,
+    ): Boolean =
+        ledger.deaths.keys.any { other ->
+            val lost = if (other == fingerprint) emptyList() else ledger.lost(other, nowMillis)
+            lost.size >= MAX_LOST && upstream in lost
+        }
+
     private fun recentlyDown(
         upstream: UpstreamId,
         nowMillis: Long,
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/process/CrashGuardTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/process/CrashGuardTest.kt
@@ -75,6 +75,21 @@
         assertEquals(CrashAdmission.Run(listOf(order[1])), step.admission)
     }
 
+    // Guards against innocent requests that wait because a crashing content took two upstreams, theirs or others.
+    @Test
+    fun `deaths of other upstreams and deaths with a known cause delay nothing`() {
+        val others = CrashGuard(InstanceId("e1")).unreachable(order[2], 0).unreachable(order[3], 0)
+        assertEquals(CrashAdmission.Run(order.take(2)), others.admit(content, order, emptyList(), 1))
+        val one = others.unreachable(order[0], 0).grant(content, RequestId("a"), order, CrashLedger(), 1, 60_000)
+        assertEquals(CrashAdmission.Run(listOf(order[1])), one.admission)
+        val crasher = Fingerprint.of("POST", "/", "other".toByteArray())
+        val explained = CrashGuard(InstanceId("e1")).died(crasher, order[0], 0).died(crasher, order[1], 0)
+        assertEquals(
+            CrashAdmission.Run(listOf(order[2])),
+            explained.grant(content, RequestId("a"), order, CrashLedger(), 1, 60_000).admission,
+        )
+    }
+
     // Guards against a third lost upstream when instances with stale views receive the same content at the same time.
     @Property(seed = "2", tries = 500)
     fun `at most two upstreams are lost over all instances in any interleaving`(
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
@@ -12,6 +12,8 @@
 import io.buckthornlever.daemon.request.OnceRunner
 import io.buckthornlever.daemon.request.PlainRelay
 import io.buckthornlever.daemon.request.RequestPipeline
+import io.buckthornlever.daemon.request.RetryBudgets
+import io.buckthornlever.daemon.request.UpstreamAccess
 import io.buckthornlever.platform.connection.HttpUpstreamClient
 import io.buckthornlever.platform.process.HttpObjectStore
 import io.buckthornlever.platform.process.SystemClock
@@ -36,12 +38,15 @@
     private val background = BackgroundTasks(log)
     private val attempts = AttemptRunner(client, upstreams, metrics, log)
     private val selector = LeastLoadedSelector(upstreams)
+    private val crashes = CrashRegistry(settings.instance.id, clock)
+    private val access = UpstreamAccess(selector, client, upstreams, crashes)
+    private val budgets = RetryBudgets(clock)
     private val pipeline =
         RequestPipeline(
             configuration = configuration,
             gate = FixedAdmissionGate(settings.limits.concurrentRequests),
-            models = ModelRelay(selector, attempts, clock, log),
-            plain = PlainRelay(selector, attempts, clock, OnceRunner(store, clock, background)),
+            models = ModelRelay(access, attempts, budgets, clock, log),
+            plain = PlainRelay(access, attempts, budgets, clock, OnceRunner(store, clock, background)),
             clock = clock,
             random = random,
             metrics = metrics,
@@ -79,6 +84,7 @@
         callers.start()
         watcher.start()
         poller.start()
+        background.repeat(EXPIRY_PERIOD, crashes::expire)
         log.write(LogEvent.STARTED, "callers" to callerUrl, "operators" to operatorUrl, "site" to settings.site)
     }
 
@@ -136,6 +142,7 @@
 
     private companion object {
         val BACKGROUND_DRAIN: Duration = Duration.ofSeconds(2)
+        val EXPIRY_PERIOD: Duration = Duration.ofSeconds(10)
         const val DRAIN_CHECK_MILLIS = 20L
         const val MAX_DUMPED_UPSTREAMS = 200
     }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelChunk.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelChunk.kt
@@ -17,6 +17,9 @@
     val usage: JsonObject? get() = json["usage"] as? JsonObject
     val text: String get() = choice?.let { member(it, "text") ?: (it["delta"] as? JsonObject)?.let { d -> member(d, "content") } }.orEmpty()
 
+    /** The same chunk for an event without a token, from which no caller can resume. */
+    fun withoutIndex(): ModelChunk = ModelChunk(JsonObject(json - "token_index"))
+
     private val choice: JsonObject? get() = (json["choices"] as? JsonArray)?.firstOrNull() as? JsonObject
 
     private fun member(
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelSink.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelSink.kt
@@ -12,4 +12,7 @@
 
     /** Ends an answer that cannot be completed. */
     fun fail(error: RequestError)
+
+    /** Ends an answer that another instance continues; false when the caller cannot resume and the answer goes on here. */
+    fun interrupt(): Boolean = false
 }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
@@ -6,9 +6,9 @@
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapBoth
+import com.github.michaelbull.result.onFailure
 import io.buckthornlever.api.connection.Header
 import io.buckthornlever.api.connection.UpstreamError
-import io.buckthornlever.api.connection.UpstreamId
 import io.buckthornlever.api.connection.UpstreamRequest
 import io.buckthornlever.api.connection.UpstreamResponse
 import io.buckthornlever.api.process.Clock
@@ -16,18 +16,24 @@
 import io.buckthornlever.api.request.ErrorCode
 import io.buckthornlever.api.request.Executed
 import io.buckthornlever.api.request.RequestError
+import io.buckthornlever.api.request.RequestId
 import io.buckthornlever.api.request.WorkClass
-import io.buckthornlever.core.request.CandidateSelector
+import io.buckthornlever.core.process.Fingerprint
+import io.buckthornlever.core.request.RetryCommand
+import io.buckthornlever.core.request.RetryEvent
+import io.buckthornlever.core.request.RetryState
 import io.buckthornlever.core.request.SelectionQuery
 import java.io.IOException
 import java.net.SocketTimeoutException
 import java.time.Duration
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
 
 /** Relays calls to plain services; repeats one only when it is idempotent or certainly has not run. */
 internal class PlainRelay(
-    private val selector: CandidateSelector,
+    private val access: UpstreamAccess,
     private val attempts: AttemptRunner,
+    private val budgets: RetryBudgets,
     private val clock: Clock,
     private val once: OnceRunner,
 ) {
@@ -68,58 +74,75 @@
         scope: RequestScope,
         body: ByteArray,
     ): Result<WholeResponse, RequestError> {
-        val excluded = LinkedHashSet<UpstreamId>()
-        var mayHaveRun = false
-        repeat(MAX_ATTEMPTS) { number ->
-            val remaining = TimeUnit.NANOSECONDS.toMillis(scope.deadlineNanos - clock.monotonicNanos())
-            if (remaining <=
-                0
-            ) {
-                return Err(RequestError(ErrorCode.DEADLINE_EXCEEDED, executed(mayHaveRun), "the route's time limit is over"))
-            }
+        budgets.onRequest(scope.route)
+        val fingerprint = Fingerprint.of(scope.exchange.method, scope.exchange.pathWithQuery, body)
+        var state = RetryState(scope.route.workClass, scope.deadlineNanos)
+        var order = RetryCommand.Dispatch(emptySet(), emptySet(), 0)
+        while (true) {
+            if (order.delayNanos > 0) LockSupport.parkNanos(order.delayNanos)
+            val id = RequestIds.attempt(scope.exchange.id, state.attempts)
             val upstream =
-                select(scope, excluded) ?: return Err(noUpstream(mayHaveRun))
-            val error = attempt(scope, body, upstream, number, remaining).mapBoth(success = { return Ok(it) }, failure = { it })
-            mayHaveRun = mayHaveRun || error !is UpstreamError.NotSent
-            if (mayHaveRun && !scope.route.workClass.idempotent) {
-                return Err(RequestError(ErrorCode.OUTCOME_UNKNOWN, Executed.UNKNOWN, "the upstream did not answer; the call may have run"))
+                when (val choice = choose(scope, fingerprint, id, order, state.maybeExecuted)) {
+                    is UpstreamAccess.Choice.Use -> choice.upstream
+                    is UpstreamAccess.Choice.Refuse -> return Err(choice.error)
+                    is UpstreamAccess.Choice.None -> return Err(noUpstream(state.maybeExecuted))
+                }
+            state = budgets.step(scope.route, state, RetryEvent.Started(upstream.id)).state
+            val error = attempt(scope, body, upstream, id, fingerprint).mapBoth(success = { return Ok(it) }, failure = { it })
+            val step = budgets.step(scope.route, state, RetryEvent.Failed(upstream.id, upstream.failureDomain, error))
+            state = step.state
+            when (val command = step.commands.first()) {
+                is RetryCommand.Dispatch -> order = command
+                is RetryCommand.Fail -> return Err(command.error)
+                is RetryCommand.Cancel -> error("only one attempt runs at a time")
             }
-            excluded += upstream.id
         }
-        return Err(RequestError(ErrorCode.UPSTREAM_FAILED, executed(mayHaveRun), "every upstream that was tried failed"))
     }
 
-    // One that failed may be tried again when no other is left: a silent connection says little about the upstream.
-    private fun select(
+    private fun choose(
         scope: RequestScope,
-        excluded: Set<UpstreamId>,
-    ): UpstreamSpec? {
-        val query = SelectionQuery(scope.route, scope.configuration.pools, excluded = excluded)
-        return selector.select(query) ?: selector.select(query.copy(excluded = emptySet())).takeIf { excluded.isNotEmpty() }
+        fingerprint: Fingerprint,
+        id: RequestId,
+        order: RetryCommand.Dispatch,
+        maybeExecuted: Boolean,
+    ): UpstreamAccess.Choice {
+        val pools = scope.configuration.pools
+        val avoided = order.exclude + UpstreamAccess.inDomains(scope.route, pools, order.avoidDomains)
+        val query = SelectionQuery(scope.route, pools, excluded = order.exclude)
+        if (avoided.size == order.exclude.size) return access.choose(query, fingerprint, id, maybeExecuted)
+        val elsewhere = access.choose(query.copy(excluded = avoided), fingerprint, id, maybeExecuted)
+        return if (elsewhere is UpstreamAccess.Choice.None) access.choose(query, fingerprint, id, maybeExecuted) else elsewhere
     }
 
     private fun attempt(
         scope: RequestScope,
         body: ByteArray,
         upstream: UpstreamSpec,
-        number: Int,
-        remainingMillis: Long,
+        id: RequestId,
+        fingerprint: Fingerprint,
     ): Result<WholeResponse, UpstreamError> {
         val request =
             UpstreamRequest(
-                id = RequestIds.attempt(scope.exchange.id, number),
+                id = id,
                 method = scope.exchange.method,
                 path = scope.exchange.pathWithQuery,
                 headers = scope.exchange.forwardedHeaders(),
                 body = body,
-                timeoutMillis = remainingMillis,
+                timeoutMillis = maxOf(1, TimeUnit.NANOSECONDS.toMillis(scope.deadlineNanos - clock.monotonicNanos())),
                 progressTimeoutMillis = scope.route.progressTimeoutMillis,
             )
-        return attempts.run(upstream, request) { result ->
-            result.andThen { response ->
-                response.use { readWhole(it, upstream, request) }
+        val result =
+            attempts.run(upstream, request) { result ->
+                result.andThen { response ->
+                    response.use { readWhole(it, upstream, request) }
+                }
             }
+        result.onFailure {
+            if (it is UpstreamError.NotSent) access.unreachable(upstream)
+            if (it is UpstreamError.Broken) access.broke(fingerprint, upstream)
         }
+        access.release(fingerprint, id)
+        return result
     }
 
     private fun readWhole(
@@ -148,7 +171,7 @@
     private fun executed(mayHaveRun: Boolean): Executed = if (mayHaveRun) Executed.UNKNOWN else Executed.NOT_RUN
 
     private fun noUpstream(mayHaveRun: Boolean): RequestError =
-        RequestError(ErrorCode.NO_UPSTREAM, executed(mayHaveRun), "no upstream can take the request now", RETRY_AFTER)
+        RequestError(ErrorCode.NO_UPSTREAM, executed(mayHaveRun), "no upstream can take the request now", UpstreamAccess.RETRY_AFTER)
 
     /** An upstream's answer, read to its end. */
     internal class WholeResponse(
@@ -158,8 +181,6 @@
     )
 
     private companion object {
-        const val MAX_ATTEMPTS = 3
-        val RETRY_AFTER: Duration = Duration.ofSeconds(1)
         val NOT_RETURNED = setOf("connection", "content-length", "date", "keep-alive", "server", "transfer-encoding", "x-request-id")
     }
 }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/RequestPipeline.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/RequestPipeline.kt
@@ -13,6 +13,7 @@
 import io.buckthornlever.api.request.Executed
 import io.buckthornlever.api.request.RequestError
 import io.buckthornlever.api.request.WorkClass
+import io.buckthornlever.core.process.Fingerprint
 import io.buckthornlever.core.request.BasicRouteLookup
 import io.buckthornlever.daemon.process.ConfigurationHolder
 import io.buckthornlever.daemon.process.DaemonMetrics
@@ -131,7 +132,33 @@
                     scope.exchange,
                     RequestError(ErrorCode.OVERLOADED, Executed.NOT_RUN, "too many requests at once", RETRY_AFTER),
                 )
-        return permit.use { if (request.body == null) plain.relay(scope, request.bytes) else models.relay(scope, request.body) }
+        return permit.use {
+            if (request.body ==
+                null
+            ) {
+                plain.relay(scope, request.bytes)
+            } else {
+                relayModel(scope, request.body, request.bytes)
+            }
+        }
+    }
+
+    private fun relayModel(
+        scope: RequestScope,
+        body: ModelBody,
+        bytes: ByteArray,
+    ): String {
+        val exchange = scope.exchange
+        val call =
+            ModelCall(
+                id = exchange.id,
+                path = exchange.path,
+                route = scope.route,
+                fingerprint = Fingerprint.of(exchange.method, exchange.path, bytes),
+                deadlineNanos = scope.deadlineNanos,
+                configuration = configuration::get,
+            )
+        return models.relay(call, body, if (body.stream) SseSink(exchange) else WholeAnswerSink(exchange, body))
     }
 
     private fun noRoute(
--- a/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/process/DaemonHarness.kt
+++ b/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/process/DaemonHarness.kt
@@ -33,11 +33,13 @@
 import java.util.HexFormat
 
 /** One daemon with two engines, two plain services and an object store. */
-internal class DaemonHarness : AutoCloseable {
+internal class DaemonHarness(
+    engineCount: Int = 2,
+) : AutoCloseable {
     private val directory = Files.createTempDirectory("daemon-test")
     val store = ObjectStoreStandIn().start()
     private val list = InstanceListStandIn().start()
-    val engines = List(2) { EngineStandIn().start() }
+    val engines = List(engineCount) { EngineStandIn().start() }
     val services = List(2) { PlainServiceStandIn().start() }
     val daemon = Daemon(settings())
     private val http = OkHttpClient.Builder().retryOnConnectionFailure(false).build()
@@ -136,7 +138,7 @@
         id: String,
         url: String,
         index: Int,
-    ): UpstreamSpec = UpstreamSpec(UpstreamId(id), url, DOMAINS[index], VersionLabel("v1"))
+    ): UpstreamSpec = UpstreamSpec(UpstreamId(id), url, DOMAINS[index % DOMAINS.size], VersionLabel("v1"))
 
     companion object {
         const val API_KEY: String = "caller-key"
