--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
@@ -24,6 +24,8 @@
 import io.buckthornlever.daemon.version.OutcomeRecorder
 import io.buckthornlever.daemon.version.StatusStore
 import io.buckthornlever.daemon.version.TrafficControl
+import io.buckthornlever.daemon.request.RetryBudgets
+import io.buckthornlever.daemon.request.UpstreamAccess
 import io.buckthornlever.platform.connection.HttpUpstreamClient
 import io.buckthornlever.platform.process.HttpInstanceList
 import io.buckthornlever.platform.process.HttpObjectStore
@@ -61,12 +63,15 @@
         AttemptRunner(client, upstreams, metrics, log, clock, OutcomeRecorder(configuration::get, traffic))
     private val selector =
         MoveSelector(settings.instance.id, LeastLoadedSelector(LimitedStatusView(upstreams) { traffic.snapshot })) { traffic.snapshot }
+    private val crashes = CrashRegistry(settings.instance.id, clock)
+    private val access = UpstreamAccess(selector, client, upstreams, crashes)
+    private val budgets = RetryBudgets(clock)
     private val pipeline =
         RequestPipeline(
             configuration = configuration,
             gate = FixedAdmissionGate(settings.limits.concurrentRequests),
-            models = ModelRelay(selector, attempts, clock, log),
-            plain = PlainRelay(selector, attempts, clock, OnceRunner(store, clock, background)),
+            models = ModelRelay(access, attempts, budgets, clock, log),
+            plain = PlainRelay(access, attempts, budgets, clock, OnceRunner(store, clock, background)),
             clock = clock,
             random = random,
             metrics = metrics,
@@ -124,6 +129,7 @@
         control.joinLease(CONTROL_LEASE)
         traffic.start()
         poller.start()
+        background.repeat(EXPIRY_PERIOD, crashes::expire)
         log.write(LogEvent.STARTED, "callers" to callerUrl, "operators" to operatorUrl, "site" to settings.site)
     }
 
@@ -203,5 +209,6 @@
         private val BACKGROUND_DRAIN: Duration = Duration.ofSeconds(2)
         private const val DRAIN_CHECK_MILLIS = 20L
         private const val MAX_DUMPED_UPSTREAMS = 200
+        private val EXPIRY_PERIOD: Duration = Duration.ofSeconds(10)
     }
 }
