--- /dev/null
+++ b/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/version/MoveClusterTest.kt
@@ -0,0 +1,60 @@
+package io.buckthornlever.daemon.version
+
+import io.buckthornlever.core.version.MoveState
+import io.buckthornlever.core.version.MoveStatus
+import io.buckthornlever.daemon.process.DaemonHarness.Companion.await
+import io.buckthornlever.standin.version.VersionFault
+import kotlinx.serialization.json.Json
+import java.time.Duration
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class MoveClusterTest {
+    private val cluster = MoveCluster()
+
+    @AfterTest
+    fun close() = cluster.close()
+
+    private fun status(pool: String): MoveStatus? =
+        cluster.store.value("status/moves/$pool")?.let { Json.decodeFromString(MoveStatus.serializer(), it) }
+
+    /** Guards against a move that never finishes, and against a bad version that keeps its traffic on some instance. */
+    @Test
+    fun `a good version finishes in time while a bad one is rolled back and gets no more requests`() {
+        cluster.start()
+        cluster.services.getValue(MoveCluster.BAD).drop(2).forEach { it.faults.versions.add(VersionFault("v2", failureStatus = 500)) }
+        cluster.putPools(Duration.ofSeconds(16))
+        await { status(MoveCluster.BAD)?.state == MoveState.ROLLED_BACK }
+        await { status(MoveCluster.GOOD)?.state == MoveState.DONE }
+        val after = cluster.services.getValue(MoveCluster.BAD).drop(2).map { it.records.received }
+        val old = cluster.services.getValue(MoveCluster.BAD).take(2).sumOf { it.records.received }
+        await { cluster.services.getValue(MoveCluster.BAD).take(2).sumOf { it.records.received } > old + 200 }
+        assertEquals(after, cluster.services.getValue(MoveCluster.BAD).drop(2).map { it.records.received })
+        assertTrue(cluster.onNew(MoveCluster.GOOD) > 0)
+    }
+
+    /** Guards against new work on a domain that operators have taken out, and against a domain that never returns. */
+    @Test
+    fun `a domain taken out gets no new work and gets some again after its return`() {
+        cluster.start()
+        await { cluster.inDomain(1) > 50 }
+        cluster.putPools(null, listOf(MoveCluster.DOMAINS[1]))
+        await { quiet() }
+        val taken = cluster.inDomain(1)
+        val other = cluster.inDomain(0)
+        await { cluster.inDomain(0) > other + 300 }
+        assertEquals(taken, cluster.inDomain(1))
+        cluster.putPools(null)
+        await { cluster.inDomain(1) > taken + 50 }
+    }
+
+    /** True when the domain got nothing while the other one got a hundred requests. */
+    private fun quiet(): Boolean {
+        val before = cluster.inDomain(1)
+        val other = cluster.inDomain(0)
+        await { cluster.inDomain(0) > other + 100 }
+        return cluster.inDomain(1) == before
+    }
+}
