--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/ClosedLoop.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/ClosedLoop.kt
@@ -1,8 +1,10 @@
 package io.buckthornlever.bench.request
 
+import com.sun.management.OperatingSystemMXBean
 import io.buckthornlever.bench.process.SiteTables
 import org.HdrHistogram.ConcurrentHistogram
 import org.HdrHistogram.Histogram
+import java.lang.management.ManagementFactory
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -16,14 +18,22 @@
     private val callers: Int,
 ) {
     private val failures = AtomicLong()
+    private val processor = ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean
 
     /** Runs for [duration] and returns the latencies in microseconds and the throughput. */
     fun run(duration: Duration): Outcome {
         val histogram = ConcurrentHistogram(MAX_LATENCY_MICROS, PRECISION_DIGITS)
+        val cpuBefore = processor.processCpuTime
         val end = System.nanoTime() + duration.toNanos()
         val threads = (0 until callers).map { Thread { loop(histogram, end) }.apply { start() } }
         threads.forEach { it.join() }
-        return Outcome(histogram, histogram.totalCount / (duration.toNanos() / NANOS_PER_SECOND), failures.get())
+        val cpuMicros = (processor.processCpuTime - cpuBefore) / NANOS_PER_MICRO.toDouble()
+        return Outcome(
+            histogram,
+            histogram.totalCount / (duration.toNanos() / NANOS_PER_SECOND),
+            failures.get(),
+            cpuMicros / histogram.totalCount,
+        )
     }
 
     private fun loop(
@@ -46,11 +56,16 @@
         }
     }
 
-    /** Result of one run. */
+    /**
+     * Result of one run.
+     *
+     * @property processorMicrosPerCall processor time of the whole JVM for each call: callers, stand-in and entry instance
+     */
     internal class Outcome(
         private val histogram: Histogram,
         val callsPerSecond: Double,
         val failures: Long,
+        val processorMicrosPerCall: Double,
     ) {
         val p50Micros: Double get() = histogram.getValueAtPercentile(50.0).toDouble()
         val p99Micros: Double get() = histogram.getValueAtPercentile(99.0).toDouble()
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/ForwardExperiment.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/request/ForwardExperiment.kt
@@ -33,6 +33,12 @@
                         Measurement("throughput, $CALLERS callers", "calls/s", direct.callsPerSecond, forwarded.callsPerSecond),
                         Measurement("p50, $CALLERS callers", "us", direct.p50Micros, forwarded.p50Micros),
                         Measurement("p99, $CALLERS callers", "us", direct.p99Micros, forwarded.p99Micros),
+                        Measurement(
+                            "processor time of the JVM per call",
+                            "us",
+                            direct.processorMicrosPerCall,
+                            forwarded.processorMicrosPerCall,
+                        ),
                         Measurement("p50, 1 caller", "us", calmDirect.p50Micros, calmForwarded.p50Micros),
                         Measurement("p99, 1 caller", "us", calmDirect.p99Micros, calmForwarded.p99Micros),
                     ),
--- a/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/request/StreamRecoveryTest.kt
+++ b/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/request/StreamRecoveryTest.kt
@@ -3,7 +3,7 @@
 import io.buckthornlever.daemon.process.DaemonHarness
 import io.buckthornlever.standin.process.EngineStandIn
 import io.buckthornlever.standin.request.TokenText
-import kotlin.concurrent.thread
+import okhttp3.Response
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -23,9 +23,7 @@
     fun `a crash of the engine during a stream yields the complete answer`() {
         DaemonHarness().use { harness ->
             harness.start()
-            val killer = thread { killWhenBusy(harness.engines) }
-            val events = harness.send(harness.completion(body("one two", 300))).use { it.body.string() }
-            killer.join()
+            val events = harness.send(harness.completion(body("one two", 300))).use { readWithCrash(it, harness.engines) }
             assertEquals(1, harness.engines.sumOf { it.records.crashes.size })
             assertEquals(List(300) { it }, indexes(events))
             assertEquals(TokenText.answer("one two", 5, 300), streamedText(events))
@@ -34,10 +32,17 @@
         }
     }
 
-    private fun killWhenBusy(engines: List<EngineStandIn>) {
-        DaemonHarness.await { engines.any { it.inFlight > 0 } }
-        Thread.sleep(KILL_AFTER_MILLIS)
+    /** Reads the whole stream; crashes the engine that runs it once some of its tokens have arrived. */
+    private fun readWithCrash(
+        response: Response,
+        engines: List<EngineStandIn>,
+    ): String {
+        val lines = response.body.charStream().buffered()
+        val text = StringBuilder()
+        while (text.lineSequence().count { it.startsWith("data: {") } < TOKENS_BEFORE_CRASH) text.appendLine(lines.readLine())
         engines.first { it.inFlight > 0 }.crash()
+        lines.forEachLine { text.appendLine(it) }
+        return text.toString()
     }
 
     // Guards against a request that takes down every engine, and against its resubmission doing so again.
@@ -75,7 +80,7 @@
             .joinToString("") { it.text }
 
     private companion object {
-        const val KILL_AFTER_MILLIS = 100L
+        const val TOKENS_BEFORE_CRASH = 20
         const val LOOKUPS = 50
     }
 }
