--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/QuotaUnit.kt
@@ -0,0 +1,7 @@
+package io.buckthornlever.api.serving
+
+/** What the quota of a client account counts. */
+public enum class QuotaUnit {
+    REQUESTS,
+    TOKENS,
+}
--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServedAccount.kt
@@ -0,0 +1,22 @@
+package io.buckthornlever.api.serving
+
+import io.buckthornlever.api.process.AccountId
+
+/**
+ * A client account with its keys and its quota over all instances.
+ *
+ * @property priority takes precedence over the priority of a route; null when the account has none
+ * @property unit what [ratePerSecond] and [burst] count
+ * @property plainTokens tokens that count for a request that does not state its size
+ * @property ratePerSecond quota in [unit] per second; 0 means no limit
+ * @property burst units that may be used at once beside [ratePerSecond]
+ */
+public data class ServedAccount(
+    val id: AccountId,
+    val keys: Set<String>,
+    val priority: Int?,
+    val unit: QuotaUnit,
+    val plainTokens: Long,
+    val ratePerSecond: Double,
+    val burst: Double,
+)
--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServedService.kt
@@ -0,0 +1,19 @@
+package io.buckthornlever.api.serving
+
+/**
+ * A group of equal upstreams.
+ *
+ * @property healthPath path of the health check
+ * @property maxConnections connections that one upstream accepts from all instances together
+ * @property coldRequestsPerSecond requests per second that one cold upstream bears from all instances together; 0 means no limit
+ * @property engine true when the upstreams are model engines
+ * @property scaling null when upstreams of the service cannot be ordered
+ */
+public data class ServedService(
+    val name: String,
+    val healthPath: String,
+    val maxConnections: Int,
+    val coldRequestsPerSecond: Double,
+    val engine: Boolean,
+    val scaling: ScalingLimits?,
+)
--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServingTable.kt
@@ -0,0 +1,37 @@
+package io.buckthornlever.api.serving
+
+import io.buckthornlever.api.process.AccountId
+
+/**
+ * One version of all routes, services, client accounts and caller limits.
+ *
+ * @property version grows with every change, not always by one
+ */
+public data class ServingTable(
+    val version: Long,
+    val routes: List<ServedRoute>,
+    val services: List<ServedService>,
+    val accounts: List<ServedAccount>,
+    val limits: CallerLimits = CallerLimits(),
+) {
+    private val byHost: Map<String, List<ServedRoute>> =
+        routes.groupBy { it.host.lowercase() }.mapValues { (_, all) -> all.sortedByDescending { it.pathPrefix.length } }
+    private val byKey: Map<String, ServedAccount> = accounts.flatMap { account -> account.keys.map { it to account } }.toMap()
+    private val byAccount: Map<AccountId, ServedAccount> = accounts.associateBy { it.id }
+    private val byService: Map<String, ServedService> = services.associateBy { it.name }
+
+    /** Route of [host] with the longest prefix that begins [path], or null. */
+    public fun route(
+        host: String,
+        path: String,
+    ): ServedRoute? = byHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    /** Client account that holds [key], or null. */
+    public fun account(key: String): ServedAccount? = byKey[key]
+
+    /** Client account named [id], or null. */
+    public fun account(id: AccountId): ServedAccount? = byAccount[id]
+
+    /** Service named [name], or null. */
+    public fun service(name: String): ServedService? = byService[name]
+}
--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateObject.kt
@@ -0,0 +1,13 @@
+package io.buckthornlever.api.serving
+
+/**
+ * An object of the shared store.
+ *
+ * @property revision revision of its last change
+ * @property value null when another writer left content that cannot be read
+ */
+public data class StateObject(
+    val name: String,
+    val revision: Long,
+    val value: StateValue?,
+)
--- /dev/null
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateStore.kt
@@ -0,0 +1,54 @@
+package io.buckthornlever.api.serving
+
+import com.github.michaelbull.result.Result
+import java.time.Duration
+
+/** The shared store. Callbacks come on the thread that made the call, never from within the call itself. */
+public interface StateStore {
+    /** Lists objects of [kind] with names after [after]; [stale] allows a cheaper listing that may be seconds old. */
+    public fun list(
+        kind: StateKind,
+        after: String?,
+        stale: Boolean,
+        done: (Result<StatePage, StateFailure>) -> Unit,
+    )
+
+    /** Waits at most [wait] for changes of [kind] after revision [since]. */
+    public fun watch(
+        kind: StateKind,
+        since: Long,
+        wait: Duration,
+        done: (Result<StateChanges, StateFailure>) -> Unit,
+    )
+
+    /** Reads one object. */
+    public fun read(
+        kind: StateKind,
+        name: String,
+        done: (Result<StateObject, StateFailure>) -> Unit,
+    )
+
+    /** Creates the object if it does not exist. */
+    public fun create(
+        kind: StateKind,
+        name: String,
+        value: StateValue,
+        done: (Result<StateObject, StateFailure>) -> Unit,
+    )
+
+    /** Replaces the object, if its revision is [expected] where that is given. */
+    public fun replace(
+        kind: StateKind,
+        name: String,
+        expected: Long?,
+        value: StateValue,
+        done: (Result<StateObject, StateFailure>) -> Unit,
+    )
+
+    /** Deletes the object. */
+    public fun delete(
+        kind: StateKind,
+        name: String,
+        done: (Result<Unit, StateFailure>) -> Unit,
+    )
+}
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/LoopbackMembership.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/LoopbackMembership.kt
@@ -16,8 +16,8 @@
 import io.buckthornlever.daemon.process.control.ControlPlane
 import io.buckthornlever.daemon.process.control.ControlSettings
 import io.buckthornlever.peer.process.PeerKeys
-import io.buckthornlever.platform.process.HttpObjectStore
-import io.buckthornlever.platform.process.SystemClock
+import io.buckthornlever.http.process.HttpObjectStore
+import io.buckthornlever.http.process.SystemClock
 import io.buckthornlever.standin.process.ObjectStoreStandIn
 import java.util.concurrent.CopyOnWriteArrayList
 
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/ContentHash.kt
@@ -0,0 +1,18 @@
+package io.buckthornlever.core.serving
+
+import io.buckthornlever.core.request.Mixing
+
+/** Hashes on which all instances agree. */
+public object ContentHash {
+    /** Hash of [text]. */
+    public fun of(text: String): Long = Mixing.hash(text)
+
+    /** Hash of [bytes]. */
+    public fun of(bytes: ByteArray): Long = Mixing.hash(bytes, 0, bytes.size)
+
+    /** Hash of a pair; not symmetric. */
+    public fun combine(
+        first: Long,
+        second: Long,
+    ): Long = Mixing.combine(first, second)
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SlidingSum.kt
@@ -0,0 +1,44 @@
+package io.buckthornlever.core.serving
+
+/**
+ * Sum of the amounts of the last [windowNanos] nanoseconds, kept in [slots] slots; an amount leaves the sum at most one slot late.
+ */
+public class SlidingSum(
+    private val windowNanos: Long,
+    private val slots: Int = DEFAULT_SLOTS,
+) {
+    private val width = windowNanos / slots
+    private val amounts = DoubleArray(slots + 1)
+    private var newest = Long.MIN_VALUE
+
+    /** Adds [amount] at [nanos]; negative amounts take back an earlier one. */
+    public fun add(
+        amount: Double,
+        nanos: Long,
+    ) {
+        advance(nanos)
+        amounts[index(newest)] += amount
+    }
+
+    /** Sum of the window that ends at [nanos]. */
+    public fun sum(nanos: Long): Double {
+        advance(nanos)
+        return amounts.sum().coerceAtLeast(0.0)
+    }
+
+    private fun advance(nanos: Long) {
+        val slot = Math.floorDiv(nanos, width)
+        if (newest == Long.MIN_VALUE) newest = slot
+        if (slot <= newest) return
+        val steps = minOf(slot - newest, amounts.size.toLong())
+        for (i in 1..steps) amounts[index(newest + i)] = 0.0
+        newest = slot
+    }
+
+    private fun index(slot: Long): Int = Math.floorMod(slot, amounts.size)
+
+    private companion object {
+        /** Resolution of one part in 32 keeps the error of a window of ten seconds below a third of a second. */
+        const val DEFAULT_SLOTS = 32
+    }
+}
--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/WaitQueue.kt
@@ -0,0 +1,39 @@
+package io.buckthornlever.core.serving
+
+/**
+ * Requests that wait for room at the upstreams of one service, most urgent first and among equals the one with the earliest
+ * deadline. Not thread-safe.
+ */
+public class WaitQueue<T : Any> {
+    private val entries = ArrayList<Entry<T>>()
+
+    /** Number of waiting requests. */
+    public val size: Int get() = entries.size
+
+    /** Adds [request]; a smaller [rank] is served first. */
+    public fun add(
+        request: T,
+        rank: Int,
+        deadlineNanos: Long,
+    ) {
+        val entry = Entry(request, rank, deadlineNanos)
+        val found = entries.binarySearch(entry, ORDER)
+        entries.add(if (found < 0) -found - 1 else found + 1, entry)
+    }
+
+    /** Removes [request] and returns true if it was waiting. */
+    public fun remove(request: T): Boolean = entries.removeIf { it.request === request }
+
+    /** Waiting requests in the order in which they are served. */
+    public fun snapshot(): List<T> = entries.map { it.request }
+
+    private class Entry<T>(
+        val request: T,
+        val rank: Int,
+        val deadlineNanos: Long,
+    )
+
+    private companion object {
+        val ORDER: Comparator<Entry<*>> = compareBy<Entry<*>> { it.rank }.thenBy { it.deadlineNanos }
+    }
+}
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
@@ -26,10 +26,10 @@
 import io.buckthornlever.daemon.version.OutcomeRecorder
 import io.buckthornlever.daemon.version.StatusStore
 import io.buckthornlever.daemon.version.TrafficControl
-import io.buckthornlever.platform.connection.HttpUpstreamClient
-import io.buckthornlever.platform.process.HttpInstanceList
-import io.buckthornlever.platform.process.HttpObjectStore
-import io.buckthornlever.platform.process.SystemClock
+import io.buckthornlever.http.connection.HttpUpstreamClient
+import io.buckthornlever.http.process.HttpInstanceList
+import io.buckthornlever.http.process.HttpObjectStore
+import io.buckthornlever.http.process.SystemClock
 import java.nio.file.Path
 import java.time.Duration
 import java.util.concurrent.TimeUnit
--- a/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/request/UpstreamAccessTest.kt
+++ b/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/request/UpstreamAccessTest.kt
@@ -20,7 +20,7 @@
 import io.buckthornlever.core.request.SelectionQuery
 import io.buckthornlever.daemon.connection.UpstreamRegistry
 import io.buckthornlever.daemon.process.CrashRegistry
-import io.buckthornlever.platform.connection.HttpUpstreamClient
+import io.buckthornlever.http.connection.HttpUpstreamClient
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerRequest.kt
@@ -0,0 +1,14 @@
+package io.buckthornlever.gateway.connection
+
+import io.netty.handler.codec.http.HttpRequest
+
+/**
+ * A request as it was read completely from a caller.
+ *
+ * @property arrivedNanos monotonic time at which its head arrived
+ */
+public class CallerRequest(
+    public val head: HttpRequest,
+    public val body: ByteArray,
+    public val arrivedNanos: Long,
+)
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
@@ -0,0 +1,103 @@
+package io.buckthornlever.gateway.connection
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.buckthornlever.api.process.Clock
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.UnpooledByteBufAllocator
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponseDecoder
+import java.time.Duration
+
+/** Connections to servers, kept for further requests while the server keeps them open. */
+public class ConnectionPool(
+    private val loop: EventLoop,
+    private val clock: Clock,
+    private val connectTimeout: Duration,
+) {
+    private val idle = HashMap<ServerAddress, ArrayDeque<OutboundConnection>>()
+
+    /** Connections opened since the start. */
+    public var opened: Long = 0
+        private set
+
+    /**
+     * Hands over an idle connection to [address] that has been idle for at most [maxIdle], or a new one. The error is the
+     * reason why none could be opened; no byte of a request has then been sent.
+     */
+    public fun acquire(
+        address: ServerAddress,
+        maxIdle: Duration,
+        done: (Result<OutboundConnection, String>) -> Unit,
+    ) {
+        val kept = takeIdle(address, maxIdle)
+        if (kept != null) done(Ok(kept)) else open(address, done)
+    }
+
+    /** Closes the idle connections to [address]. */
+    public fun forget(address: ServerAddress) {
+        idle.remove(address)?.forEach { it.close() }
+    }
+
+    private fun takeIdle(
+        address: ServerAddress,
+        maxIdle: Duration,
+    ): OutboundConnection? {
+        val kept = idle[address] ?: return null
+        val now = clock.monotonicNanos()
+        while (kept.isNotEmpty()) {
+            val candidate = kept.removeLast()
+            val allowed = candidate.idleLimit?.minus(IDLE_MARGIN) ?: maxIdle
+            val usable = now - candidate.idleSince <= minOf(allowed, maxIdle).toNanos()
+            if (candidate.isOpen && usable) return candidate
+            candidate.close()
+        }
+        idle.remove(address)
+        return null
+    }
+
+    private fun open(
+        address: ServerAddress,
+        done: (Result<OutboundConnection, String>) -> Unit,
+    ) {
+        opened++
+        val connection = OutboundConnection(address, ::release)
+        Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator(false))
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.toMillis().toInt())
+            .handler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel.pipeline().addLast(HttpRequestEncoder(), HttpResponseDecoder(), connection)
+                    }
+                },
+            ).connect(address.host, address.port)
+            .addListener { result ->
+                if (result.isSuccess) done(Ok(connection)) else done(Err("no connection to $address: ${result.cause()?.message}"))
+            }
+    }
+
+    private fun release(connection: OutboundConnection) {
+        connection.idleSince = clock.monotonicNanos()
+        val kept = idle.getOrPut(connection.server) { ArrayDeque() }
+        kept.addLast(connection)
+        if (kept.size > MAX_IDLE_PER_SERVER) kept.removeFirst().close()
+    }
+
+    private companion object {
+        /** Idle connections kept per server; more are seldom in use at once by one instance. */
+        const val MAX_IDLE_PER_SERVER = 16
+
+        /** A server's idle timeout may run out while a request is on its way. */
+        val IDLE_MARGIN: Duration = Duration.ofMillis(800)
+    }
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCalls.kt
@@ -0,0 +1,111 @@
+package io.buckthornlever.gateway.connection
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import java.io.ByteArrayOutputStream
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+
+/** Calls with small bodies to one server, each with a time limit. A connection whose answer is overdue is closed. */
+public class HttpCalls(
+    private val loop: EventLoop,
+    private val pool: ConnectionPool,
+    private val address: ServerAddress,
+) {
+    /** Calls made since the start. */
+    public var made: Long = 0
+        private set
+
+    /** Sends a request and hands its complete answer, or the reason why there is none, to [done]. */
+    public fun call(
+        method: HttpMethod,
+        path: String,
+        headers: Map<String, String>,
+        body: ByteArray?,
+        timeout: Duration,
+        done: (Result<HttpCallResult, HttpCallFailure>) -> Unit,
+    ) {
+        made++
+        val call = Call(done)
+        val timer = loop.schedule({ call.timedOut() }, timeout.toMillis(), TimeUnit.MILLISECONDS)
+        call.onDone = { timer.cancel(false) }
+        pool.acquire(address, MAX_IDLE) { result ->
+            result.onFailure { call.finish(Err(HttpCallFailure(it, false))) }
+            result.onSuccess { call.sendOn(it, request(method, path, headers, body)) }
+        }
+    }
+
+    private fun request(
+        method: HttpMethod,
+        path: String,
+        headers: Map<String, String>,
+        body: ByteArray?,
+    ): DefaultFullHttpRequest {
+        val content = if (body == null) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(body)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
+        request.headers().set(HttpHeaderNames.HOST, address.toString())
+        headers.forEach { (name, value) -> request.headers().set(name, value) }
+        if (body != null) request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        return request
+    }
+
+    private class Call(
+        private val done: (Result<HttpCallResult, HttpCallFailure>) -> Unit,
+    ) : ExchangeListener {
+        private var connection: OutboundConnection? = null
+        private var status = 0
+        private val body = ByteArrayOutputStream()
+        private var finished = false
+        var onDone: () -> Unit = {}
+
+        fun sendOn(
+            connection: OutboundConnection,
+            request: DefaultFullHttpRequest,
+        ) {
+            if (finished) {
+                connection.close()
+                return
+            }
+            this.connection = connection
+            connection.send(request, this)
+        }
+
+        fun timedOut() {
+            connection?.close()
+            finish(Err(HttpCallFailure("no answer in time", connection != null)))
+        }
+
+        override fun head(response: HttpResponse): HeadVerdict {
+            status = response.status().code()
+            return HeadVerdict.ACCEPT
+        }
+
+        override fun data(bytes: ByteArray) = body.write(bytes)
+
+        override fun ended() = finish(Ok(HttpCallResult(status, body.toByteArray())))
+
+        override fun broken(reason: String) = finish(Err(HttpCallFailure(reason, true)))
+
+        fun finish(result: Result<HttpCallResult, HttpCallFailure>) {
+            if (finished) return
+            finished = true
+            onDone()
+            done(result)
+        }
+    }
+
+    private companion object {
+        /** Connections that were idle longer may have gone silent without notice. */
+        val MAX_IDLE: Duration = Duration.ofSeconds(3)
+    }
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
@@ -0,0 +1,145 @@
+package io.buckthornlever.gateway.connection
+
+import io.netty.buffer.ByteBufUtil
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import java.time.Duration
+
+/**
+ * One connection to a server, with at most one request at a time. A connection whose request was not written completely, or
+ * that carried bytes beyond the answer, is never used again.
+ */
+public class OutboundConnection internal constructor(
+    private val address: ServerAddress,
+    private val onIdle: (OutboundConnection) -> Unit,
+) : ChannelInboundHandlerAdapter() {
+    private lateinit var channel: Channel
+    private var listener: ExchangeListener? = null
+    private var written = false
+    private var skipping = false
+    private var keepsOpen = false
+
+    /** Time after which the server may close the connection when it is idle; null when it has not told. */
+    public var idleLimit: Duration? = null
+        private set
+
+    /** Monotonic time since which the connection is idle. */
+    public var idleSince: Long = 0
+
+    /** Server at the other end. */
+    public val server: ServerAddress get() = address
+
+    /** True while the connection is open. */
+    public val isOpen: Boolean get() = channel.isActive
+
+    // A connect listener runs before the channel counts as active.
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        channel = context.channel()
+    }
+
+    /** Sends [request]; [listener] hears of the answer. */
+    public fun send(
+        request: FullHttpRequest,
+        listener: ExchangeListener,
+    ) {
+        this.listener = listener
+        written = false
+        keepsOpen = false
+        channel.writeAndFlush(request).addListener { result ->
+            if (result.isSuccess) written = true else fail("request could not be written: ${result.cause()?.message}")
+        }
+    }
+
+    /** Pauses or resumes reading, for a receiver that is slower than the server. */
+    public fun read(enabled: Boolean) {
+        channel.config().isAutoRead = enabled
+    }
+
+    /** Closes the connection; a pending request gets no answer and its listener hears nothing. */
+    public fun close() {
+        listener = null
+        channel.close()
+    }
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        try {
+            if (listener == null) {
+                // Bytes beyond an answer belong to no request.
+                context.close()
+            } else if (message is HttpObject && message.decoderResult().isFailure) {
+                fail("malformed answer: ${message.decoderResult().cause().message}")
+            } else {
+                if (message is HttpResponse) head(message)
+                if (message is HttpContent) content(message)
+            }
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ): Unit = fail(cause.message ?: cause.javaClass.simpleName)
+
+    override fun channelInactive(context: ChannelHandlerContext): Unit = fail("connection closed by the server")
+
+    private fun head(response: HttpResponse) {
+        if (response.status().code() < FIRST_FINAL_STATUS) {
+            skipping = true
+            return
+        }
+        keepsOpen =
+            HttpUtil.isKeepAlive(response) && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
+        idleLimit = keepAliveOf(response)
+        when (listener?.head(response)) {
+            HeadVerdict.ACCEPT -> skipping = false
+            HeadVerdict.SKIP -> skipping = true
+            HeadVerdict.REJECT, null -> close()
+        }
+    }
+
+    private fun content(content: HttpContent) {
+        if (!skipping && content.content().isReadable) listener?.data(ByteBufUtil.getBytes(content.content()))
+        if (content !is LastHttpContent) return
+        if (skipping) {
+            skipping = false
+            return
+        }
+        val ended = listener ?: return
+        listener = null
+        if (written && keepsOpen && channel.isActive) onIdle(this) else channel.close()
+        ended.ended()
+    }
+
+    private fun fail(reason: String) {
+        val failed = listener
+        listener = null
+        channel.close()
+        failed?.broken(reason)
+    }
+
+    private fun keepAliveOf(response: HttpResponse): Duration? =
+        response
+            .headers()
+            .get(HttpHeaderNames.KEEP_ALIVE)
+            ?.split(',')
+            ?.firstNotNullOfOrNull { part -> part.trim().removePrefix("timeout=").toLongOrNull() }
+            ?.let(Duration::ofSeconds)
+
+    private companion object {
+        const val FIRST_FINAL_STATUS = 200
+    }
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -0,0 +1,313 @@
+package io.buckthornlever.gateway.process
+
+import com.github.michaelbull.result.onFailure
+import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.process.AccountId
+import io.buckthornlever.api.process.Clock
+import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.api.serving.InstanceRecord
+import io.buckthornlever.api.serving.SingletonDuties
+import io.buckthornlever.api.serving.StateFailure
+import io.buckthornlever.api.serving.StateKind
+import io.buckthornlever.api.serving.StateObject
+import io.buckthornlever.api.serving.StateStore
+import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.core.serving.AccountQuotas
+import io.buckthornlever.core.serving.CrashTally
+import io.buckthornlever.core.serving.RepeatBudget
+import io.buckthornlever.core.serving.ServingBelief
+import io.buckthornlever.core.serving.UpstreamBoard
+import io.buckthornlever.core.serving.UsageLedger
+import io.buckthornlever.gateway.connection.CallerListener
+import io.buckthornlever.gateway.connection.ConnectionPool
+import io.buckthornlever.gateway.connection.ServerAddress
+import io.buckthornlever.gateway.request.CallerProtocol
+import io.buckthornlever.gateway.request.RequestAdmission
+import io.buckthornlever.gateway.request.ServingContext
+import io.netty.channel.EventLoop
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+
+/**
+ * One gateway process: it follows the shared state, serves callers, tells its peers what they share and takes its turn at the
+ * singleton duties. All of it runs on [loop], so that no state needs a lock.
+ */
+public class Gateway(
+    private val settings: GatewaySettings,
+    private val loop: EventLoop,
+    private val clock: Clock,
+    private val protocol: CallerProtocol,
+    private val store: StateStore,
+    duties: SingletonDuties,
+    private val log: EventLog,
+    private val onStopped: () -> Unit,
+) {
+    private val belief = ServingBelief(settings.belief)
+    private val board = UpstreamBoard(InstanceId(settings.instance), settings.domain)
+    private val quotas = AccountQuotas(settings.quota)
+    private val repeats = RepeatBudget(settings.repeatRatio, settings.repeatWindow, settings.repeatSlack)
+    private val crashes = CrashTally()
+    private val usage = UsageLedger(settings.usageWindow?.toMillis() ?: DEFAULT_WINDOW_MILLIS)
+    private val metrics = GatewayMetrics()
+    private val pool = ConnectionPool(loop, clock, UPSTREAM_CONNECT_TIMEOUT)
+    private val context =
+        ServingContext(loop, clock, protocol, belief, board, quotas, repeats, crashes, usage, pool, log, metrics)
+    private val admission = RequestAdmission(context)
+    private val callers = CallerListener(loop, admission, clock)
+    private val probes = CallerListener(loop, ProbeService(::isReady, metrics), clock)
+    private val incarnation = clock.now().toEpochMilli()
+    private val peers = PeerExchange(loop, clock, settings.instance, ::peerState, ::heard)
+    private val runner = DutyRunner(settings.instance, clock, store, duties, usage, settings.usageWindow, settings.leaseTtl, log)
+    private val pauses = PauseDetector(clock.monotonicNanos(), incarnation)
+    private val evacuated = HashSet<FailureDomain>()
+    private var live: Set<String>? = null
+    private var storeLost = false
+    private var storeBackAt = Long.MIN_VALUE / 2
+    private var wasReady = false
+    private var stoppingSince: Long? = null
+
+    /** Starts to serve; throws an exception when an address cannot be used. */
+    public fun start() {
+        val port = callers.listen(settings.callers)
+        probes.listen(settings.readiness)
+        loop.execute {
+            peers.start(settings.peers)
+            FEEDS.forEach { (kind, wait) -> StateFeed(kind, wait, store, loop, clock, Feed(kind)).start() }
+            register()
+            tick()
+        }
+        metrics.gauge("buckthornlever_open_connections", "Open connections of callers") { callers.open.toDouble() }
+        metrics.gauge("buckthornlever_requests_waiting", "Requests that wait for room") { context.queues.waiting.toDouble() }
+        log.write(GatewayEvent.STARTED, "callers" to settings.callers.host + ":" + port, "domain" to settings.domain)
+    }
+
+    /** Stops to ask for connections, serves what callers have sent, and ends the process when nothing is left or the grace is over. */
+    public fun stop() {
+        if (stoppingSince != null) return
+        stoppingSince = clock.monotonicNanos()
+        admission.draining = true
+        log.write(GatewayEvent.SHUTDOWN_STARTED, "open" to callers.open)
+        stopStep()
+    }
+
+    private fun stopStep() {
+        val since = stoppingSince ?: return
+        val passed = Duration.ofNanos(clock.monotonicNanos() - since)
+        if (passed >= BALANCER_LEAVES) callers.closeIdle()
+        val graceOver = passed >= settings.grace.minus(EXIT_MARGIN)
+        if (graceOver || (passed >= BALANCER_LEAVES && callers.open == 0)) {
+            peers.tellNow()
+            log.write(GatewayEvent.STOPPED, "open" to callers.open, "afterMillis" to passed.toMillis())
+            loop.schedule(onStopped, LAST_WORDS_MILLIS, TimeUnit.MILLISECONDS)
+            return
+        }
+        loop.schedule({ stopStep() }, STOP_STEP_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun isReady(): Boolean {
+        val ready = stoppingSince == null && belief.isReady(clock.monotonicNanos())
+        if (ready != wasReady) {
+            wasReady = ready
+            log.write(
+                GatewayEvent.READINESS_CHANGED,
+                "ready" to ready,
+                "table" to belief.table?.version,
+                "tableAgeMillis" to belief.age(clock.monotonicNanos())?.toMillis(),
+            )
+        }
+        return ready
+    }
+
+    private fun tick() {
+        loop.schedule({ tick() }, TICK_MILLIS, TimeUnit.MILLISECONDS)
+        val now = clock.monotonicNanos()
+        val paused = pauses.check(now, clock.now().toEpochMilli())
+        if (!paused.isZero) {
+            belief.paused()
+            log.write(GatewayEvent.PAUSE_DETECTED, "millis" to paused.toMillis())
+        }
+        if (!storeLost) {
+            board.lapsedBefore(now - LAPSE_HOLD.toNanos()).forEach { log.write(GatewayEvent.UPSTREAM_GONE, "upstream" to it) }
+        }
+        members()
+        if (stoppingSince == null) runner.tick()
+    }
+
+    private fun members() {
+        val now = peers.live()
+        if (now == live) return
+        live = now
+        quotas.members(now)
+        repeats.instances = now.size + 1
+        board.members((now + settings.instance).mapTo(HashSet()) { InstanceId(it) })
+        log.write(GatewayEvent.PEERS_CHANGED, "live" to now.size + 1)
+    }
+
+    private fun register() {
+        val record = StateValue.Instance(InstanceRecord(settings.instance, settings.peers.host, settings.peers.port))
+        store.create(StateKind.INSTANCES, settings.instance, record) { result ->
+            result.onFailure { failure ->
+                when (failure) {
+                    is StateFailure.Conflict -> store.replace(StateKind.INSTANCES, settings.instance, null, record) { again ->
+                        again.onFailure { registerLater() }
+                    }
+                    else -> registerLater()
+                }
+            }
+        }
+    }
+
+    private fun registerLater() {
+        loop.schedule({ register() }, REGISTER_AGAIN_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun peerState(): PeerState =
+        PeerState(
+            settings.instance,
+            incarnation,
+            quotas.totals().mapKeys { it.key.value },
+            usage.ownWindows().mapValues { (_, counts) -> counts.mapKeys { it.key.value } },
+            crashes.counts(clock.monotonicNanos()),
+            runner.fencing,
+        )
+
+    private fun heard(state: PeerState) {
+        val now = clock.monotonicNanos()
+        quotas.heard(state.instance, state.incarnation, state.charged.mapKeys { AccountId(it.key) }, now)
+        usage.heard(state.instance, state.incarnation, state.windows.mapValues { (_, counts) -> counts.mapKeys { AccountId(it.key) } })
+        crashes.heard(state.instance, state.breaks)
+        if (state.fencing != null) runner.heldElsewhere()
+    }
+
+    private inner class Feed(
+        private val followed: StateKind,
+    ) : StateFeedListener {
+        override fun changed(
+            kind: StateKind,
+            changed: StateObject,
+        ) {
+            when (val value = changed.value) {
+                null -> unreadable(kind, changed)
+                is StateValue.Table -> tableRead(value)
+                is StateValue.Upstream -> {
+                    board.registered(value.upstream, clock.monotonicNanos())
+                    log.write(
+                        GatewayEvent.UPSTREAM_REGISTERED,
+                        "upstream" to value.upstream.id,
+                        "service" to value.upstream.service,
+                        "domain" to value.upstream.domain,
+                        "leaving" to value.upstream.leaving,
+                        "coldMillis" to value.upstream.coldFor.toMillis(),
+                    )
+                    context.queues.retry(value.upstream.service)
+                }
+                is StateValue.Evacuation -> evacuation(FailureDomain(changed.name), true)
+                is StateValue.Instance -> peers.listed(value.record.name, ServerAddress(value.record.host, value.record.peerPort))
+                is StateValue.Order, is StateValue.Lease, is StateValue.Usage -> Unit
+            }
+        }
+
+        override fun deleted(
+            kind: StateKind,
+            name: String,
+        ) {
+            when (kind) {
+                StateKind.UPSTREAMS -> upstreamDeleted(UpstreamId(name))
+                StateKind.EVACUATIONS -> evacuation(FailureDomain(name), false)
+                StateKind.INSTANCES -> peers.unlisted(name)
+                else -> Unit
+            }
+        }
+
+        override fun answered(
+            kind: StateKind,
+            sentNanos: Long,
+        ) {
+            if (!storeLost) return
+            storeLost = false
+            storeBackAt = clock.monotonicNanos()
+            log.write(GatewayEvent.STORE_REGAINED, "kind" to kind)
+        }
+
+        override fun synchronised(sentNanos: Long) {
+            if (followed == StateKind.SERVING_TABLE) belief.confirmed(sentNanos)
+        }
+
+        override fun failed(
+            kind: StateKind,
+            failure: StateFailure,
+        ) {
+            if (failure == StateFailure.HistoryGone || storeLost) return
+            storeLost = true
+            log.write(GatewayEvent.STORE_LOST, "kind" to kind, "failure" to failure)
+        }
+
+        override fun historyGone(kind: StateKind): Unit = log.write(GatewayEvent.HISTORY_GONE, "kind" to kind)
+    }
+
+    private fun unreadable(
+        kind: StateKind,
+        changed: StateObject,
+    ) {
+        log.write(GatewayEvent.STATE_UNREADABLE, "kind" to kind, "name" to changed.name, "revision" to changed.revision)
+        if (kind == StateKind.UPSTREAMS) board.unregistered(UpstreamId(changed.name))
+    }
+
+    private fun tableRead(value: StateValue.Table) {
+        if (!belief.offer(value.table)) return
+        board.configure(value.table)
+        log.write(GatewayEvent.TABLE_IN_FORCE, "version" to value.table.version, "routes" to value.table.routes.size)
+    }
+
+    private fun upstreamDeleted(id: UpstreamId) {
+        val now = clock.monotonicNanos()
+        if (storeLost || now - storeBackAt <= LAPSE_HOLD.toNanos()) {
+            board.lapsed(id, now)
+            log.write(GatewayEvent.UPSTREAM_LAPSED, "upstream" to id)
+        } else {
+            board.unregistered(id)
+            log.write(GatewayEvent.UPSTREAM_GONE, "upstream" to id)
+        }
+    }
+
+    private fun evacuation(
+        domain: FailureDomain,
+        begins: Boolean,
+    ) {
+        if (begins) evacuated.add(domain) else evacuated.remove(domain)
+        board.evacuate(evacuated.toSet())
+        log.write(GatewayEvent.DOMAINS_EVACUATED, "domains" to evacuated)
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 200L
+        const val STOP_STEP_MILLIS = 100L
+        const val REGISTER_AGAIN_MILLIS = 500L
+        const val DEFAULT_WINDOW_MILLIS = 60_000L
+
+        /** Lets the last datagrams and log lines leave. */
+        const val LAST_WORDS_MILLIS = 50L
+
+        /** A balancer notices within this time that the instance is not ready. */
+        val BALANCER_LEAVES: Duration = Duration.ofMillis(3_200)
+
+        /** Time before the end of the grace at which the process ends by itself. */
+        val EXIT_MARGIN: Duration = Duration.ofMillis(500)
+
+        /** Several round trips between failure domains; a lost opening packet counts as no connection. */
+        val UPSTREAM_CONNECT_TIMEOUT: Duration = Duration.ofMillis(400)
+
+        /** Time after the store's return in which living upstreams register again. */
+        val LAPSE_HOLD: Duration = Duration.ofMillis(2_300)
+
+        /** Followed kinds with the longest wait of a watch: the faster a silent connection has to be noticed, the shorter. */
+        val FEEDS: Map<StateKind, Duration> =
+            mapOf(
+                StateKind.SERVING_TABLE to Duration.ofMillis(1_000),
+                StateKind.UPSTREAMS to Duration.ofMillis(2_000),
+                StateKind.EVACUATIONS to Duration.ofMillis(3_000),
+                StateKind.INSTANCES to Duration.ofMillis(4_000),
+            )
+    }
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeedListener.kt
@@ -0,0 +1,38 @@
+package io.buckthornlever.gateway.process
+
+import io.buckthornlever.api.serving.StateFailure
+import io.buckthornlever.api.serving.StateKind
+import io.buckthornlever.api.serving.StateObject
+
+/** Hears what a [StateFeed] learns. */
+internal interface StateFeedListener {
+    /** [changed] is new or has changed. */
+    fun changed(
+        kind: StateKind,
+        changed: StateObject,
+    )
+
+    /** The object [name] is gone. */
+    fun deleted(
+        kind: StateKind,
+        name: String,
+    )
+
+    /** The store has answered a call that was sent at [sentNanos]. */
+    fun answered(
+        kind: StateKind,
+        sentNanos: Long,
+    )
+
+    /** All changes up to an answer of the store to a call that was sent at [sentNanos] have been delivered. */
+    fun synchronised(sentNanos: Long)
+
+    /** A call failed. */
+    fun failed(
+        kind: StateKind,
+        failure: StateFailure,
+    )
+
+    /** The store has forgotten the history. */
+    fun historyGone(kind: StateKind)
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/OwnAnswers.kt
@@ -0,0 +1,18 @@
+package io.buckthornlever.gateway.request
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import java.time.Duration
+import java.util.Locale
+
+/** Headers of answers that the gateway makes itself. */
+internal object OwnAnswers {
+    private const val MILLIS_PER_SECOND = 1_000.0
+
+    fun plain(): HttpHeaders = DefaultHttpHeaders()
+
+    /** Tells the caller to come back after [wait]. */
+    fun retryAfter(wait: Duration): HttpHeaders =
+        DefaultHttpHeaders().set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(Locale.ROOT, wait.toMillis() / MILLIS_PER_SECOND))
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
@@ -0,0 +1,139 @@
+package io.buckthornlever.gateway.request
+
+import io.buckthornlever.api.serving.CallerLimits
+import io.buckthornlever.api.serving.ServedAccount
+import io.buckthornlever.api.serving.ServedRoute
+import io.buckthornlever.api.serving.ServingTable
+import io.buckthornlever.core.serving.ContentHash
+import io.buckthornlever.gateway.connection.CallerExchange
+import io.buckthornlever.gateway.connection.CallerReply
+import io.buckthornlever.gateway.connection.CallerRequest
+import io.buckthornlever.gateway.connection.CallerService
+import io.buckthornlever.gateway.process.GatewayEvent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+import java.time.Duration
+
+/** Finds route, client account and quota of each request, and starts its run or refuses it. */
+internal class RequestAdmission(
+    private val context: ServingContext,
+) : CallerService {
+    override val limits: CallerLimits get() = context.belief.table?.limits ?: CallerLimits()
+
+    override var draining: Boolean = false
+
+    override fun serve(
+        request: CallerRequest,
+        reply: CallerReply,
+    ): CallerExchange {
+        val head = context.protocol.decode(request.head)
+        val table = context.belief.table ?: return refuse(head, reply, "no table")
+        val host = request.head.headers().get(HttpHeaderNames.HOST).orEmpty().substringBefore(':')
+        val path = request.head.uri().substringBefore('?')
+        val route = table.route(host, path) ?: return deny(head, reply, HttpResponseStatus.NOT_FOUND, "no route")
+        if (route.public || table.accounts.isEmpty()) return admit(request, head, table, route, null, reply)
+        val account = head.key?.let(table::account) ?: return deny(head, reply, HttpResponseStatus.UNAUTHORIZED, "unknown key")
+        if (!context.belief.allowsKeyedWork(now())) return refuse(head, reply, "the table is not confirmed")
+        return admit(request, head, table, route, account, reply)
+    }
+
+    private fun admit(
+        request: CallerRequest,
+        head: CallerHead,
+        table: ServingTable,
+        route: ServedRoute,
+        account: ServedAccount?,
+        reply: CallerReply,
+    ): CallerExchange {
+        val fingerprint = ServingRun.fingerprintOf(account, request.head.uri(), request.body)
+        if (context.crashes.refuses(fingerprint)) return refuse(head, reply, "its content broke off earlier runs")
+        val service = serviceOf(route, head)
+        if (table.service(service) == null) return refuse(head, reply, "service $service is not in the table")
+        if (account != null && !context.quotas.admit(account, ServingRun.costOf(account, head), now())) {
+            return answer(head, reply, HttpResponseStatus.TOO_MANY_REQUESTS, "quota", OwnAnswers.retryAfter(QUOTA_RETRY_AFTER))
+        }
+        val timeLeft = minOf(head.timeLeft ?: route.timeout, route.timeout)
+        val deadline = request.arrivedNanos + timeLeft.toNanos()
+        val run = ServingRun(context, request, head, route, account, service, reply, deadline, fingerprint)
+        run.start()
+        return run
+    }
+
+    /** Weighted choice that all instances make alike for the same request. */
+    private fun serviceOf(
+        route: ServedRoute,
+        head: CallerHead,
+    ): String {
+        val total = route.services.sumOf { it.weight }
+        if (route.services.size == 1 || total <= 0) return route.services.first().service
+        var point = Math.floorMod(ContentHash.of(head.requestId.orEmpty()), total)
+        return route.services
+            .first { target ->
+                point -= target.weight
+                point < 0
+            }.service
+    }
+
+    /** Answers with a final refusal, or asks the caller to come back while the table may be out of date. */
+    private fun deny(
+        head: CallerHead,
+        reply: CallerReply,
+        status: HttpResponseStatus,
+        reason: String,
+    ): CallerExchange =
+        if (context.belief.allowsDenial(
+                now(),
+            )
+        ) {
+            answer(head, reply, status, reason, OwnAnswers.plain())
+        } else {
+            refuse(head, reply, "$reason in an unconfirmed table")
+        }
+
+    private fun refuse(
+        head: CallerHead,
+        reply: CallerReply,
+        reason: String,
+    ): CallerExchange =
+        answer(
+            head,
+            reply,
+            HttpResponseStatus.SERVICE_UNAVAILABLE,
+            reason,
+            OwnAnswers.retryAfter(RequestLimits.RETRY_AFTER_UNCONFIRMED),
+        )
+
+    private fun answer(
+        head: CallerHead,
+        reply: CallerReply,
+        status: HttpResponseStatus,
+        reason: String,
+        headers: HttpHeaders,
+    ): CallerExchange {
+        context.metrics.refused(reason)
+        context.log.write(
+            GatewayEvent.REQUEST_REFUSED,
+            "request" to head.requestId,
+            "status" to status.code(),
+            "reason" to reason,
+            "table" to context.belief.table?.version,
+            "tableAgeMillis" to context.belief.age(now())?.toMillis(),
+        )
+        reply.respond(status, headers, ByteArray(0))
+        return NoExchange
+    }
+
+    private fun now(): Long = context.clock.monotonicNanos()
+
+    private object NoExchange : CallerExchange {
+        override fun callerGone() = Unit
+
+        override fun callerWritable(writable: Boolean) = Unit
+    }
+
+    private companion object {
+        /** The quota refills continuously; by then some requests have left its window. */
+        val QUOTA_RETRY_AFTER: Duration = Duration.ofSeconds(1)
+    }
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestLimits.kt
@@ -0,0 +1,33 @@
+package io.buckthornlever.gateway.request
+
+import java.time.Duration
+
+/** Times of the request path that do not depend on a route. */
+internal object RequestLimits {
+    /** Share of the target latency for which a request waits for room at an upstream before it is refused. */
+    const val WAIT_SHARE = 0.5
+
+    /** Pause after which a refused caller finds room again in most cases: some requests have ended by then. */
+    val RETRY_AFTER: Duration = Duration.ofMillis(300)
+
+    /** Pause after which a caller without a valid table or store behind the instance tries again. */
+    val RETRY_AFTER_UNCONFIRMED: Duration = Duration.ofMillis(700)
+
+    /** Idle time up to which a kept connection is used for requests that may not be repeated: servers may drop it unnoticed. */
+    val MAX_IDLE_UNREPEATABLE: Duration = Duration.ofMillis(1_500)
+
+    /** Idle time up to which a kept connection is used for other requests. */
+    val MAX_IDLE: Duration = Duration.ofSeconds(4)
+
+    /** Share of the time left after which a repeatable request that got no answer is sent to another upstream. */
+    const val ATTEMPT_SHARE = 0.4
+
+    /** Longest silence of a resumable stream before its first event, as a multiple of the target latency. */
+    const val FIRST_EVENT_TARGETS = 2.0
+
+    /** Longest silence of a resumable stream between events, as a multiple of the longest pause that is on time. */
+    const val PAUSE_FACTOR = 4.0
+
+    /** Time left below which an attempt is not started. */
+    val LEAST_TIME: Duration = Duration.ofMillis(10)
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
@@ -0,0 +1,31 @@
+package io.buckthornlever.gateway.request
+
+import io.buckthornlever.api.process.Clock
+import io.buckthornlever.core.serving.AccountQuotas
+import io.buckthornlever.core.serving.CrashTally
+import io.buckthornlever.core.serving.RepeatBudget
+import io.buckthornlever.core.serving.ServingBelief
+import io.buckthornlever.core.serving.UpstreamBoard
+import io.buckthornlever.core.serving.UsageLedger
+import io.buckthornlever.gateway.connection.ConnectionPool
+import io.buckthornlever.gateway.process.EventLog
+import io.buckthornlever.gateway.process.GatewayMetrics
+import io.netty.channel.EventLoop
+
+/** What the requests of one process share; all of it belongs to the traffic thread. */
+internal class ServingContext(
+    val loop: EventLoop,
+    val clock: Clock,
+    val protocol: CallerProtocol,
+    val belief: ServingBelief,
+    val board: UpstreamBoard,
+    val quotas: AccountQuotas,
+    val repeats: RepeatBudget,
+    val crashes: CrashTally,
+    val usage: UsageLedger,
+    val pool: ConnectionPool,
+    val log: EventLog,
+    val metrics: GatewayMetrics,
+) {
+    val queues: PlacementQueues = PlacementQueues(this)
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingRun.kt
@@ -0,0 +1,373 @@
+package io.buckthornlever.gateway.request
+
+import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.serving.QuotaUnit
+import io.buckthornlever.api.serving.RequestKind
+import io.buckthornlever.api.serving.ServedAccount
+import io.buckthornlever.api.serving.ServedRoute
+import io.buckthornlever.core.serving.AttemptEnd
+import io.buckthornlever.core.serving.ContentHash
+import io.buckthornlever.core.serving.EventSplitter
+import io.buckthornlever.core.serving.NextStep
+import io.buckthornlever.core.serving.Placement
+import io.buckthornlever.core.serving.PlacementQuery
+import io.buckthornlever.core.serving.RecoveryPolicy
+import io.buckthornlever.core.serving.RunProof
+import io.buckthornlever.gateway.connection.CallerExchange
+import io.buckthornlever.gateway.connection.CallerReply
+import io.buckthornlever.gateway.connection.CallerRequest
+import io.buckthornlever.gateway.process.GatewayEvent
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.ScheduledFuture
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+
+/**
+ * One admitted request of a caller, from its place in the queue to its final answer.
+ *
+ * @param service service that the route's weights chose
+ * @param deadlineNanos monotonic time at which the final answer is due
+ */
+internal class ServingRun(
+    private val context: ServingContext,
+    private val request: CallerRequest,
+    private val head: CallerHead,
+    private val route: ServedRoute,
+    private val account: ServedAccount?,
+    private val service: String,
+    private val reply: CallerReply,
+    private val deadlineNanos: Long,
+    private val fingerprint: Long,
+) : CallerExchange,
+    AttemptOwner {
+    private val tried = HashSet<UpstreamId>()
+    private val splitter = EventSplitter()
+    private val timers = ArrayList<ScheduledFuture<*>>()
+    private var attempt: Attempt? = null
+    private var waitUntil = 0L
+    private var isWaiting = false
+    private var proof = RunProof.NOT_RUN
+    private var runs = 0
+    private var sends = 0
+    private var counted = false
+    private var answerStarted = false
+    private var streamHead: HttpResponse? = null
+    private var lastEventId: Long? = head.lastEventId
+    private var over = false
+
+    fun start() {
+        context.repeats.requested(service, now())
+        schedule(deadlineNanos - now()) { deadlinePassed() }
+        waitForPlace(Duration.ofMillis((route.targetLatency.toMillis() * RequestLimits.WAIT_SHARE).toLong()))
+    }
+
+    /** Looks for room; returns false when the request has to wait on. */
+    fun tryPlace(): Boolean {
+        if (over || !isWaiting) return true
+        val now = now()
+        if (account != null && !context.belief.allowsKeyedWork(now)) {
+            leaveQueue()
+            giveUp("the table is not confirmed", RequestLimits.RETRY_AFTER_UNCONFIRMED)
+            return true
+        }
+        val placement = context.board.choose(query(), now)
+        if (placement is Placement.Chosen) {
+            leaveQueue()
+            send(Attempt(context, this, placement.upstream, head.requestId, head.promptTokens, route.kind == RequestKind.STREAM))
+            return true
+        }
+        if (now < waitUntil) return false
+        leaveQueue()
+        giveUp(if (placement is Placement.Busy) "no room" else "no upstream", RequestLimits.RETRY_AFTER)
+        return true
+    }
+
+    override fun callerGone() {
+        if (over) return
+        context.log.write(GatewayEvent.CALLER_LEFT, "request" to head.requestId, "route" to route.name, "proof" to proof)
+        close("caller-left")
+        attempt?.cancel()
+    }
+
+    override fun callerWritable(writable: Boolean) {
+        attempt?.read(writable)
+    }
+
+    override fun began(attempt: Attempt) {
+        proof = RunProof.HAS_RUN
+        if (counted || account == null) return
+        counted = true
+        val since = if (route.kind == RequestKind.STREAM) context.clock.now().toEpochMilli() else attempt.sentMillis
+        context.usage.began(account.id, since)
+    }
+
+    override fun streamStarted(
+        attempt: Attempt,
+        response: HttpResponse,
+    ) {
+        if (!answerStarted) streamHead = response
+    }
+
+    override fun streamData(
+        attempt: Attempt,
+        bytes: ByteArray,
+    ) {
+        for (event in splitter.add(bytes)) {
+            val id = event.id
+            val last = lastEventId
+            if (id != null && last != null && id <= last) continue
+            if (id != null) lastEventId = id
+            startAnswer()
+            reply.part(event.bytes)
+        }
+    }
+
+    override fun streamEnded(attempt: Attempt) {
+        if (splitter.isInsideEvent) return ended(attempt, AttemptEnd.Broken("the stream ended inside an event"), null)
+        startAnswer()
+        close("served")
+        reply.end()
+        context.queues.retry(service)
+    }
+
+    override fun answered(
+        attempt: Attempt,
+        answer: StoredAnswer,
+    ) {
+        close("served")
+        reply.respond(answer.status, answer.headers, answer.body)
+        context.queues.retry(service)
+    }
+
+    override fun ended(
+        attempt: Attempt,
+        end: AttemptEnd,
+        failure: StoredAnswer?,
+    ) {
+        if (over) return
+        this.attempt = null
+        splitter.reset()
+        val before = proof
+        proof = proof.and(end.proof)
+        if (end.proof != RunProof.NOT_RUN) runs++
+        if (end is AttemptEnd.Broken) context.crashes.brokeOff(fingerprint, now())
+        val next = RecoveryPolicy.next(route, end, before, runs, sends, answerStarted) { mayRepeat() }
+        context.log.write(
+            GatewayEvent.ATTEMPT_ENDED,
+            "request" to head.requestId,
+            "upstream" to attempt.entry.upstream.id,
+            "end" to end,
+            "proof" to proof,
+            "next" to next,
+        )
+        proceed(next, failure)
+        context.queues.retry(service)
+    }
+
+    /** The head goes out with the first event, so that a run that ends before it can still be answered otherwise. */
+    private fun startAnswer() {
+        val response = streamHead ?: return
+        streamHead = null
+        answerStarted = true
+        reply.start(response.status(), context.protocol.relay(response))
+    }
+
+    private fun proceed(
+        next: NextStep,
+        failure: StoredAnswer?,
+    ) {
+        when (next) {
+            NextStep.TRY_ANOTHER -> waitForPlace(Duration.ofNanos(maxOf(0, deadlineNanos - now()) / 2))
+            NextStep.REFUSE_NOT_RUN -> refuse("upstreams refused", RequestLimits.RETRY_AFTER)
+            NextStep.FAIL_UNKNOWN -> fail(HttpResponseStatus.BAD_GATEWAY)
+            NextStep.RELAY_FAILURE -> if (failure == null ||
+                failure.status.code() in PROMISES
+            ) {
+                fail(HttpResponseStatus.BAD_GATEWAY)
+            } else {
+                relay(failure)
+            }
+            NextStep.ABORT -> abort()
+        }
+    }
+
+    private fun mayRepeat(): Boolean =
+        deadlineNanos - now() > RequestLimits.LEAST_TIME.toNanos() && !context.crashes.refuses(fingerprint) &&
+            context.repeats.take(service, now())
+
+    private fun query(): PlacementQuery {
+        val shared = head.parts.dropLast(1).ifEmpty { head.parts }
+        return PlacementQuery(service, shared.map { it.id }, shared.sumOf { it.tokens }, head.promptTokens, tried)
+    }
+
+    private fun waitForPlace(longest: Duration) {
+        val now = now()
+        waitUntil = minOf(now + longest.toNanos(), deadlineNanos)
+        isWaiting = true
+        if (!tryPlace()) context.queues.add(this, service, account?.priority ?: route.priority, deadlineNanos)
+    }
+
+    private fun leaveQueue() {
+        isWaiting = false
+        context.queues.remove(this, service)
+    }
+
+    private fun send(attempt: Attempt) {
+        sends++
+        this.attempt = attempt
+        tried.add(attempt.entry.upstream.id)
+        val maxIdle = if (route.repeatable) RequestLimits.MAX_IDLE else RequestLimits.MAX_IDLE_UNREPEATABLE
+        attempt.start(maxIdle) { forwarded(attempt) }
+        watchProgress(attempt)
+    }
+
+    private fun forwarded(attempt: Attempt): FullHttpRequest {
+        val target =
+            ForwardTarget(
+                attempt.entry.upstream.id,
+                account?.id,
+                Duration.ofNanos(maxOf(0, deadlineNanos - now())),
+                if (answerStarted) lastEventId else head.lastEventId,
+                null,
+            )
+        val source = request.head
+        val headers = context.protocol.forward(source, target)
+        val hasBody = request.body.isNotEmpty() || source.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+        if (hasBody) headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        val content = Unpooled.wrappedBuffer(request.body)
+        return DefaultFullHttpRequest(HttpVersion.HTTP_1_1, source.method(), source.uri(), content, headers, EmptyHttpHeaders.INSTANCE)
+    }
+
+    /** Ends attempts of repeatable requests that show no progress, while another upstream may still answer in time. */
+    private fun watchProgress(watched: Attempt) {
+        if (!route.repeatable || runs + 1 >= route.maxAttempts) return
+        val limit = silenceLimit()
+        val left = watched.progressNanos + limit - now()
+        schedule(maxOf(left, MIN_CHECK_NANOS)) {
+            if (attempt !== watched) return@schedule
+            if (now() - watched.progressNanos >= limit) watched.silent() else watchProgress(watched)
+        }
+    }
+
+    private fun silenceLimit(): Long {
+        if (route.kind != RequestKind.STREAM) return ((deadlineNanos - now()) * RequestLimits.ATTEMPT_SHARE).toLong()
+        val pause = route.longestPause
+        if (answerStarted && pause != null) return (pause.toNanos() * RequestLimits.PAUSE_FACTOR).toLong()
+        return (route.targetLatency.toNanos() * RequestLimits.FIRST_EVENT_TARGETS).toLong()
+    }
+
+    private fun deadlinePassed() {
+        if (over) return
+        val running = attempt
+        when {
+            answerStarted -> abort()
+            proof == RunProof.NOT_RUN && running?.wasSent != true -> refuse("deadline passed in the queue", RequestLimits.RETRY_AFTER)
+            else -> fail(HttpResponseStatus.GATEWAY_TIMEOUT)
+        }
+        running?.cancel()
+    }
+
+    private fun giveUp(
+        reason: String,
+        retryAfter: Duration,
+    ) {
+        when {
+            answerStarted -> abort()
+            proof == RunProof.NOT_RUN -> refuse(reason, retryAfter)
+            else -> fail(HttpResponseStatus.BAD_GATEWAY)
+        }
+    }
+
+    private fun refuse(
+        reason: String,
+        retryAfter: Duration,
+    ) {
+        if (account != null) context.quotas.refund(account.id, costOf(account, head), now())
+        close("refused", reason)
+        reply.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, OwnAnswers.retryAfter(retryAfter), EMPTY_BODY)
+    }
+
+    private fun fail(status: HttpResponseStatus) {
+        close("failed", status.toString())
+        reply.respond(status, OwnAnswers.plain(), EMPTY_BODY)
+    }
+
+    private fun relay(answer: StoredAnswer) {
+        close("upstream-failure", answer.status.toString())
+        reply.respond(answer.status, answer.headers, answer.body)
+    }
+
+    private fun abort() {
+        close("broken-off")
+        reply.abort()
+    }
+
+    private fun close(
+        outcome: String,
+        reason: String? = null,
+    ) {
+        over = true
+        timers.forEach { it.cancel(false) }
+        if (isWaiting) leaveQueue()
+        val millis = (now() - request.arrivedNanos) / NANOS_PER_MILLI
+        context.metrics.finished(outcome, millis)
+        context.log.write(
+            GatewayEvent.REQUEST_FINISHED,
+            "request" to head.requestId,
+            "route" to route.name,
+            "account" to account?.id,
+            "upstream" to attempt?.entry?.upstream?.id,
+            "sends" to sends,
+            "proof" to proof,
+            "millis" to millis,
+            "table" to context.belief.table?.version,
+            "outcome" to outcome,
+            "reason" to reason,
+        )
+    }
+
+    private fun schedule(
+        nanos: Long,
+        action: () -> Unit,
+    ) {
+        timers.removeIf { it.isDone }
+        timers.add(context.loop.schedule({ action() }, maxOf(0, nanos), TimeUnit.NANOSECONDS) as ScheduledFuture<*>)
+    }
+
+    private fun now(): Long = context.clock.monotonicNanos()
+
+    internal companion object {
+        private const val NANOS_PER_MILLI = 1_000_000L
+
+        /** Shortest interval between two checks of an attempt's progress. */
+        private const val MIN_CHECK_NANOS = 20_000_000L
+        private val EMPTY_BODY = ByteArray(0)
+
+        /** Statuses that promise that a request did not run. */
+        private val PROMISES = setOf(408, 421, 429, 503)
+
+        /** Units of [account]'s quota that the request of [head] uses. */
+        fun costOf(
+            account: ServedAccount,
+            head: CallerHead,
+        ): Double {
+            if (account.unit == QuotaUnit.REQUESTS) return 1.0
+            val stated = head.promptTokens.toLong() + head.outputTokens
+            return (if (stated > 0) stated else account.plainTokens).toDouble()
+        }
+
+        /** Identity of a request's content over repeats of the same caller. */
+        fun fingerprintOf(
+            account: ServedAccount?,
+            uri: String,
+            body: ByteArray,
+        ): Long = ContentHash.combine(ContentHash.of(uri + '\n' + account?.id?.value), ContentHash.of(body))
+    }
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/StoredAnswer.kt
@@ -0,0 +1,11 @@
+package io.buckthornlever.gateway.request
+
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/** A complete answer of an upstream. */
+internal class StoredAnswer(
+    val status: HttpResponseStatus,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+)
--- a/buckthornlever-platform/src/main/kotlin/io/buckthornlever/platform/connection/SendTracker.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/SendTracker.kt
@@ -1,4 +1,4 @@
-package io.buckthornlever.platform.connection
+package io.buckthornlever.http.connection
 
 import okhttp3.Call
 import okhttp3.EventListener
--- a/buckthornlever-platform/src/main/kotlin/io/buckthornlever/platform/process/HttpObjectStore.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpObjectStore.kt
@@ -1,4 +1,4 @@
-package io.buckthornlever.platform.process
+package io.buckthornlever.http.process
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -10,7 +10,7 @@
 import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.process.StoreError
 import io.buckthornlever.api.process.StoredObject
-import io.buckthornlever.platform.connection.SendTracker
+import io.buckthornlever.http.connection.SendTracker
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
--- a/buckthornlever-platform/src/main/kotlin/io/buckthornlever/platform/process/SystemClock.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/SystemClock.kt
@@ -1,4 +1,4 @@
-package io.buckthornlever.platform.process
+package io.buckthornlever.http.process
 
 import io.buckthornlever.api.process.Clock
 import java.time.Instant
--- a/buckthornlever-platform/src/test/kotlin/io/buckthornlever/platform/connection/HttpUpstreamClientTest.kt
+++ b/buckthornlever-http/src/test/kotlin/io/buckthornlever/http/connection/HttpUpstreamClientTest.kt
@@ -1,4 +1,4 @@
-package io.buckthornlever.platform.connection
+package io.buckthornlever.http.connection
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
--- a/buckthornlever-platform/src/test/kotlin/io/buckthornlever/platform/process/HttpObjectStoreTest.kt
+++ b/buckthornlever-http/src/test/kotlin/io/buckthornlever/http/process/HttpObjectStoreTest.kt
@@ -1,4 +1,4 @@
-package io.buckthornlever.platform.process
+package io.buckthornlever.http.process
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
