--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateKind.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateKind.kt
@@ -22,4 +22,7 @@
 
     /** Usage of closed windows, created once by the lease holder. */
     USAGE_WINDOWS,
+
+    /** Quota that all instances used lately, replaced by the lease holder. */
+    QUOTA_SNAPSHOTS,
 }
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
@@ -30,6 +30,11 @@
         val lease: StoredDutyLease,
     ) : StateValue
 
+    /** Content of [StateKind.QUOTA_SNAPSHOTS]. */
+    public data class Quota(
+        val snapshot: QuotaSnapshot,
+    ) : StateValue
+
     /** Content of [StateKind.USAGE_WINDOWS]. */
     public data class Usage(
         val window: UsageWindow,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AccountQuotas.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AccountQuotas.kt
@@ -8,10 +8,19 @@
  * Quotas of client accounts over all instances. Each instance counts its own usage and what its peers tell of theirs in a
  * sliding window. A peer that is silent is charged an equal part of the quota, since it may be spending that much; an
  * instance that hears nobody is thus left with its own equal part. Not thread-safe.
+ *
+ * A process that starts while others have served does not know what was used before; until it has [restore]d a snapshot, its
+ * equal part counts as used and comes free over one window.
+ *
+ * @param incarnation start of this process, as it tells its peers
+ * @param startNanos monotonic time of the start; not given when nothing can have been used before
  */
 public class AccountQuotas(
     private val bounds: QuotaBounds,
+    private val incarnation: Long = Long.MIN_VALUE,
+    private val startNanos: Long = NEVER,
 ) {
+    private var before: HashMap<AccountId, Usage>? = if (startNanos == NEVER) HashMap() else null
     private val own = HashMap<AccountId, Usage>()
     private val peers = HashMap<String, Peer>()
 
@@ -54,9 +63,41 @@
     ) {
         val known = peers.getOrPut(peer) { Peer() }
         if (incarnation < known.incarnation) return
+        // What a peer used before this process started is part of the snapshot.
+        val olderThanThis = known.incarnation != incarnation && incarnation <= this.incarnation
         if (incarnation > known.incarnation) known.restart(incarnation)
         known.heardAt = nanos
-        for ((account, total) in totals) known.usage.getOrPut(account) { Usage(bounds.window) }.advanceTo(total, nanos)
+        for ((account, total) in totals) {
+            val usage = known.usage.getOrPut(account) { Usage(bounds.window) }
+            if (olderThanThis) usage.total = total else usage.advanceTo(total, nanos)
+        }
+    }
+
+    /** What all instances have used in the window that ends at [nanos], by client account and slot. */
+    public fun recent(nanos: Long): Map<AccountId, List<Double>> {
+        val sources = listOf(own, before.orEmpty()) + peers.values.map { it.usage }
+        return sources
+            .flatMap { it.entries }
+            .groupBy({ it.key }, { it.value.slots(nanos) })
+            .mapValues { (_, all) -> all.reduce { sum, slots -> sum.zip(slots, Double::plus) } }
+    }
+
+    /** Takes what was used before this process started, as [recent] told it [age] ago. */
+    public fun restore(
+        used: Map<AccountId, List<Double>>,
+        age: Duration,
+        nanos: Long,
+    ) {
+        before = HashMap(used.mapValues { (_, slots) -> Usage(bounds.window).apply { restore(slots, age.toNanos(), nanos) } })
+    }
+
+    private fun usedBefore(
+        account: ServedAccount,
+        part: Double,
+        nanos: Long,
+    ): Double {
+        val known = before ?: return part * maxOf(0.0, 1.0 - (nanos - startNanos).toDouble() / bounds.window.toNanos())
+        return known[account.id]?.sum(nanos) ?: 0.0
     }
 
     private fun used(
@@ -65,6 +106,7 @@
     ): Double {
         val part = limit(account) / (peers.size + 1)
         return (own[account.id]?.sum(nanos) ?: 0.0) +
+            usedBefore(account, part, nanos) +
             peers.values.sumOf { peer ->
                 val known = peer.usage[account.id]?.sum(nanos) ?: 0.0
                 if (nanos - peer.heardAt > SILENCE.toNanos()) maxOf(known, part) else known
@@ -107,6 +149,14 @@
         ) = add(total - this.total, nanos)
 
         fun sum(nanos: Long): Double = recent.sum(nanos)
+
+        fun slots(nanos: Long): List<Double> = recent.slots(nanos)
+
+        fun restore(
+            slots: List<Double>,
+            ageNanos: Long,
+            nanos: Long,
+        ) = recent.restore(slots, ageNanos, nanos)
     }
 
     private companion object {
@@ -116,7 +166,7 @@
         const val MILLIS_PER_SECOND = 1_000.0
 
         /** Far enough in the past to count as silent, near enough not to overflow. */
-        const val NEVER = Long.MIN_VALUE / 2
+        private const val NEVER = Long.MIN_VALUE / 2
 
         /** Several intervals of peer messages. */
         val SILENCE: Duration = Duration.ofMillis(1_500)
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SlidingSum.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SlidingSum.kt
@@ -26,6 +26,25 @@
         return amounts.sum().coerceAtLeast(0.0)
     }
 
+    /** Amounts of the window that ends at [nanos], by slot, the oldest first. */
+    public fun slots(nanos: Long): List<Double> {
+        advance(nanos)
+        return (amounts.size - 1 downTo 0).map { amounts[index(newest - it)] }
+    }
+
+    /** Adds amounts as [slots] told them [ageNanos] before [nanos]; those that have left the window are dropped. */
+    public fun restore(
+        slots: List<Double>,
+        ageNanos: Long,
+        nanos: Long,
+    ) {
+        advance(nanos)
+        val shift = maxOf(0, ageNanos) / width
+        slots.reversed().forEachIndexed { back, amount ->
+            if (back + shift < amounts.size) amounts[index(newest - back - shift)] += amount
+        }
+    }
+
     private fun advance(nanos: Long) {
         val slot = Math.floorDiv(nanos, width)
         if (newest == Long.MIN_VALUE) newest = slot
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
@@ -163,8 +163,8 @@
         }
     }
 
-    /** The platform has seen a higher fencing number; this holder does not act again. */
-    private fun superseded(fencing: Long) {
+    /** The platform has seen a higher number than [fencing]; this holder does not act again. */
+    fun superseded(fencing: Long) {
         fenced = maxOf(fenced, fencing)
         step(LeaseEvent.ResignRequested)
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -1,12 +1,14 @@
 package io.buckthornlever.gateway.process
 
 import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import io.buckthornlever.api.connection.UpstreamId
 import io.buckthornlever.api.process.AccountId
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.serving.InstanceRecord
+import io.buckthornlever.api.serving.QuotaSnapshot
 import io.buckthornlever.api.serving.SingletonDuties
 import io.buckthornlever.api.serving.StateFailure
 import io.buckthornlever.api.serving.StateKind
@@ -15,6 +17,7 @@
 import io.buckthornlever.api.serving.StateValue
 import io.buckthornlever.core.serving.AccountQuotas
 import io.buckthornlever.core.serving.CrashTally
+import io.buckthornlever.core.serving.DemandMeter
 import io.buckthornlever.core.serving.RepeatBudget
 import io.buckthornlever.core.serving.ServingBelief
 import io.buckthornlever.core.serving.UpstreamBoard
@@ -45,20 +48,28 @@
 ) {
     private val belief = ServingBelief(settings.belief)
     private val board = UpstreamBoard(InstanceId(settings.instance), settings.domain)
-    private val quotas = AccountQuotas(settings.quota)
+    private val incarnation = clock.now().toEpochMilli()
+    private val quotas =
+        if (settings.firstStart) {
+            AccountQuotas(settings.quota, incarnation)
+        } else {
+            AccountQuotas(settings.quota, incarnation, clock.monotonicNanos())
+        }
     private val repeats = RepeatBudget(settings.repeatRatio, settings.repeatWindow, settings.repeatSlack)
     private val crashes = CrashTally()
     private val usage = UsageLedger(settings.usageWindow?.toMillis() ?: DEFAULT_WINDOW_MILLIS)
+    private val demand = DemandMeter()
     private val metrics = GatewayMetrics()
     private val pool = ConnectionPool(loop, clock, UPSTREAM_CONNECT_TIMEOUT)
     private val context =
-        ServingContext(loop, clock, protocol, belief, board, quotas, repeats, crashes, usage, pool, log, metrics)
+        ServingContext(loop, clock, protocol, belief, board, quotas, repeats, crashes, usage, demand, pool, log, metrics)
     private val admission = RequestAdmission(context)
     private val callers = CallerListener(loop, admission, clock)
     private val probes = CallerListener(loop, ProbeService(::isReady, metrics), clock)
-    private val incarnation = clock.now().toEpochMilli()
     private val peers = PeerExchange(loop, clock, settings.instance, ::peerState, ::heard)
     private val runner = DutyRunner(settings.instance, clock, store, duties, usage, settings.usageWindow, settings.leaseTtl, log)
+    private val orders =
+        OrderRunner(settings.instance, settings.domains, clock, duties, board, demand, log, runner::superseded)
     private val pauses = PauseDetector(clock.monotonicNanos(), incarnation)
     private val evacuated = HashSet<FailureDomain>()
     private var live: Set<String>? = null
@@ -66,6 +77,7 @@
     private var storeBackAt = Long.MIN_VALUE / 2
     private var wasReady = false
     private var stoppingSince: Long? = null
+    private var quotasSavedAt = Long.MIN_VALUE / 2
 
     /** Starts to serve; throws an exception when an address cannot be used. */
     public fun start() {
@@ -75,6 +87,7 @@
             peers.start(settings.peers)
             FEEDS.forEach { (kind, wait) -> StateFeed(kind, wait, store, loop, clock, Feed(kind)).start() }
             register()
+            if (!settings.firstStart) restoreQuotas()
             tick()
         }
         metrics.gauge("buckthornlever_open_connections", "Open connections of callers") { callers.open.toDouble() }
@@ -132,6 +145,10 @@
         }
         members()
         if (stoppingSince == null) runner.tick()
+        val table = belief.table
+        val fencing = runner.fencing
+        if (table != null && fencing != null) orders.tick(table, fencing)
+        if (fencing != null && now - quotasSavedAt >= SAVE_QUOTAS.toNanos()) saveQuotas(now)
     }
 
     private fun members() {
@@ -162,6 +179,25 @@
         loop.schedule({ register() }, REGISTER_AGAIN_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    /** Takes over what was used before this process started; without the store its equal part counts as used. */
+    private fun restoreQuotas() {
+        store.read(StateKind.QUOTA_SNAPSHOTS, QUOTAS_NAME) { result ->
+            result.onSuccess { found ->
+                val snapshot = (found.value as? StateValue.Quota)?.snapshot ?: return@onSuccess
+                val age = Duration.ofMillis(clock.now().toEpochMilli() - snapshot.takenAtMillis)
+                quotas.restore(snapshot.used, age, clock.monotonicNanos())
+            }
+        }
+    }
+
+    private fun saveQuotas(now: Long) {
+        quotasSavedAt = now
+        val value = StateValue.Quota(QuotaSnapshot(clock.now().toEpochMilli(), quotas.recent(now)))
+        store.replace(StateKind.QUOTA_SNAPSHOTS, QUOTAS_NAME, null, value) { result ->
+            result.onFailure { if (it == StateFailure.NotFound) store.create(StateKind.QUOTA_SNAPSHOTS, QUOTAS_NAME, value) { } }
+        }
+    }
+
     private fun peerState(): PeerState =
         PeerState(
             settings.instance,
@@ -169,6 +205,7 @@
             quotas.totals().mapKeys { it.key.value },
             usage.ownWindows().mapValues { (_, counts) -> counts.mapKeys { it.key.value } },
             crashes.counts(clock.monotonicNanos()),
+            demand.ownTotals,
             runner.fencing,
         )
 
@@ -177,6 +214,7 @@
         quotas.heard(state.instance, state.incarnation, state.charged.mapKeys { AccountId(it.key) }, now)
         usage.heard(state.instance, state.incarnation, state.windows.mapValues { (_, counts) -> counts.mapKeys { AccountId(it.key) } })
         crashes.heard(state.instance, state.breaks)
+        demand.heard(state.instance, state.incarnation, state.demand, now)
         if (state.fencing != null) runner.heldElsewhere()
     }
 
@@ -204,7 +242,7 @@
                 }
                 is StateValue.Evacuation -> evacuation(FailureDomain(changed.name), true)
                 is StateValue.Instance -> peers.listed(value.record.name, ServerAddress(value.record.host, value.record.peerPort))
-                is StateValue.Order, is StateValue.Lease, is StateValue.Usage -> Unit
+                is StateValue.Order, is StateValue.Lease, is StateValue.Usage, is StateValue.Quota -> Unit
             }
         }
 
@@ -281,6 +319,7 @@
     }
 
     private companion object {
+        const val QUOTAS_NAME = "site"
         const val TICK_MILLIS = 200L
         const val STOP_STEP_MILLIS = 100L
         const val REGISTER_AGAIN_MILLIS = 500L
@@ -289,6 +328,9 @@
         /** Lets the last datagrams and log lines leave. */
         const val LAST_WORDS_MILLIS = 50L
 
+        /** Usage that all instances lose when all of them are killed at once is that of this time at most. */
+        val SAVE_QUOTAS: Duration = Duration.ofMillis(800)
+
         /** A balancer notices within this time that the instance is not ready. */
         val BALANCER_LEAVES: Duration = Duration.ofMillis(3_200)
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewaySettings.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewaySettings.kt
@@ -10,6 +10,7 @@
  * Settings of one gateway process.
  *
  * @property instance name of this instance, unique in the site
+ * @property domains failure domains of the site
  * @property callers address at which callers are served
  * @property readiness address at which readiness and metrics are told
  * @property peers address for datagrams of other instances
@@ -18,11 +19,13 @@
  * @property repeatSlack repeats allowed besides in [repeatWindow], over all instances
  * @property leaseTtl time after which a lease that is not renewed expires
  * @property usageWindow length of an accounting window; null when usage is not reported
+ * @property firstStart true when no instance of the site can have served before
  * @property grace time from the request to stop until the process has to be gone
  */
 public data class GatewaySettings(
     val instance: String,
     val domain: FailureDomain,
+    val domains: List<FailureDomain>,
     val callers: ServerAddress,
     val readiness: ServerAddress,
     val peers: ServerAddress,
@@ -33,5 +36,6 @@
     val repeatSlack: Double,
     val leaseTtl: Duration,
     val usageWindow: Duration?,
+    val firstStart: Boolean,
     val grace: Duration,
 )
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerState.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerState.kt
@@ -10,6 +10,7 @@
  * @property charged units charged since the start, by client account
  * @property windows requests that began to run, by accounting window and client account
  * @property breaks contents that broke off runs, with the number of runs
+ * @property demand prompt tokens asked since the start, by service
  * @property fencing fencing number of the duty lease while the sender holds it
  */
 @Serializable
@@ -19,5 +20,6 @@
     val charged: Map<String, Double>,
     val windows: Map<Long, Map<String, Long>>,
     val breaks: Map<Long, Int>,
+    val demand: Map<String, Double>,
     val fencing: Long?,
 )
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
@@ -3,6 +3,7 @@
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.core.serving.AccountQuotas
 import io.buckthornlever.core.serving.CrashTally
+import io.buckthornlever.core.serving.DemandMeter
 import io.buckthornlever.core.serving.RepeatBudget
 import io.buckthornlever.core.serving.ServingBelief
 import io.buckthornlever.core.serving.UpstreamBoard
@@ -23,6 +24,7 @@
     val repeats: RepeatBudget,
     val crashes: CrashTally,
     val usage: UsageLedger,
+    val demand: DemandMeter,
     val pool: ConnectionPool,
     val log: EventLog,
     val metrics: GatewayMetrics,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingRun.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingRun.kt
@@ -64,6 +64,7 @@
 
     fun start() {
         context.repeats.requested(service, now())
+        context.demand.asked(service, head.promptTokens, now())
         schedule(deadlineNanos - now()) { deadlinePassed() }
         waitForPlace(Duration.ofMillis((route.targetLatency.toMillis() * RequestLimits.WAIT_SHARE).toLong()))
     }
