--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/RecoveryPolicyTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/RecoveryPolicyTest.kt
@@ -72,19 +72,14 @@
 
     private fun forEveryCase(check: (io.buckthornlever.api.serving.ServedRoute, AttemptEnd, RunProof, NextStep) -> Unit) {
         var cases = 0
-        for (route in routes) {
-            for (end in ends) {
-                for (before in RunProof.entries) {
-                    for (started in listOf(false, true)) {
-                        for (budget in listOf(false, true)) {
-                            for (runs in 0..3) {
-                                for (sends in 1..4) {
-                                    check(route, end, before, RecoveryPolicy.next(route, end, before, runs, sends, started) { budget })
-                                    cases++
-                                }
-                            }
-                        }
-                    }
+        val flags = listOf(false, true)
+        val situations = routes.flatMap { route -> ends.flatMap { end -> RunProof.entries.map { Triple(route, end, it) } } }
+        val counts = (0..3).flatMap { runs -> (1..4).map { sends -> runs to sends } }
+        for ((route, end, before) in situations) {
+            for ((runs, sends) in counts) {
+                flags.flatMap { started -> flags.map { budget -> started to budget } }.forEach { (started, budget) ->
+                    check(route, end, before, RecoveryPolicy.next(route, end, before, runs, sends, started) { budget })
+                    cases++
                 }
             }
         }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -86,7 +86,7 @@
         head.coldFor?.let { context.board.coldReported(entry, it, progressNanos) }
         if (head.notRun) return HeadVerdict.ACCEPT
         val success = response.status().code() in SUCCESS
-        if (success && (!head.sealed || head.requestId == null || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
+        if (success && !isProven(head, response)) {
             end(AttemptEnd.Broken("success without proof of origin"), true)
             return HeadVerdict.REJECT
         }
@@ -133,6 +133,11 @@
         if (!over) end(AttemptEnd.Broken(reason), true)
     }
 
+    private fun isProven(
+        head: UpstreamHead,
+        response: HttpResponse,
+    ): Boolean = head.sealed && head.requestId != null && !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+
     private fun send(
         connection: OutboundConnection,
         request: () -> FullHttpRequest,
