--- /dev/null
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/OutboundConnectionTest.kt
@@ -0,0 +1,134 @@
+package io.buckthornlever.gateway.connection
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpVersion
+import java.io.IOException
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+/** Guards against answers that look complete but are not, and against bytes of one answer that reach another request. */
+class OutboundConnectionTest {
+    private val idle = ArrayList<OutboundConnection>()
+    private val connection = OutboundConnection(ServerAddress("127.0.0.1", 1), idle::add)
+    private val channel = EmbeddedChannel(HttpRequestEncoder(), HttpResponseDecoder(), connection)
+    private val heard = Heard()
+
+    @Test
+    fun `a whole answer frees the connection for the next request`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok")
+        assertEquals("head 200, ok, ended", heard.text())
+        assertEquals(listOf(connection), idle)
+        assertEquals(5, connection.idleLimit?.seconds)
+    }
+
+    @Test
+    fun `an answer shorter than its length is broken`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok")
+        channel.close()
+        assertTrue(heard.text().endsWith("broken"))
+    }
+
+    @Test
+    fun `chunks without the last one are broken`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+        channel.close()
+        assertTrue(heard.text().endsWith("broken"))
+    }
+
+    @Test
+    fun `an answer without length ends with its connection`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\n\r\nok")
+        channel.close()
+        assertEquals("head 200, ok, ended", heard.text())
+        assertTrue(idle.isEmpty())
+    }
+
+    @Test
+    fun `an answer without length that is reset is broken`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\n\r\nok")
+        channel.pipeline().fireExceptionCaught(IOException("Connection reset"))
+        assertTrue(heard.text().endsWith("broken"))
+    }
+
+    @Test
+    fun `bytes beyond an answer close the connection`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+        assertFalse(channel.isOpen)
+        assertEquals("head 200, ok, ended", heard.text())
+    }
+
+    @Test
+    fun `bytes that are no answer break the exchange`() {
+        send()
+        receive("garbage without end\r\n\r\n")
+        channel.close()
+        assertTrue(heard.text().endsWith("broken"))
+    }
+
+    @Test
+    fun `a skipped answer is dropped with its body`() {
+        heard.verdicts.addAll(listOf(HeadVerdict.SKIP, HeadVerdict.ACCEPT))
+        send()
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
+        assertEquals("head 200, head 200, new, ended", heard.text())
+    }
+
+    @Test
+    fun `an interim answer is not the answer`() {
+        send()
+        receive("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        assertEquals("head 200, ok, ended", heard.text())
+    }
+
+    @Test
+    fun `a server that asks to close is not used again`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+        assertTrue(idle.isEmpty())
+    }
+
+    private fun send() = connection.send(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), heard)
+
+    private fun receive(text: String) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, Charsets.US_ASCII))
+    }
+
+    private class Heard : ExchangeListener {
+        val verdicts = ArrayDeque<HeadVerdict>()
+        private val events = ArrayList<String>()
+
+        override fun head(response: HttpResponse): HeadVerdict {
+            events.add("head ${response.status().code()}")
+            return verdicts.removeFirstOrNull() ?: HeadVerdict.ACCEPT
+        }
+
+        override fun data(bytes: ByteArray) {
+            events.add(bytes.decodeToString())
+        }
+
+        override fun ended() {
+            events.add("ended")
+        }
+
+        override fun broken(reason: String) {
+            events.add("broken")
+        }
+
+        fun text(): String = events.joinToString()
+    }
+}
