--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/SystemClock.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/process/SystemClock.kt
@@ -1,6 +1,5 @@
-package io.buckthornlever.http.process
+package io.buckthornlever.api.process
 
-import io.buckthornlever.api.process.Clock
 import java.time.Instant
 
 /** The clock of the machine. */
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/LoopbackMembership.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/control/LoopbackMembership.kt
@@ -9,15 +9,15 @@
 import io.buckthornlever.api.process.InstanceList
 import io.buckthornlever.api.process.PlatformError
 import io.buckthornlever.api.process.PlatformInstance
+import io.buckthornlever.api.process.SystemClock
 import io.buckthornlever.bench.process.Measurement
 import io.buckthornlever.bench.process.SiteFixture
 import io.buckthornlever.core.process.membership.MemberState
 import io.buckthornlever.daemon.process.control.ControlListener
 import io.buckthornlever.daemon.process.control.ControlPlane
 import io.buckthornlever.daemon.process.control.ControlSettings
-import io.buckthornlever.peer.process.PeerKeys
 import io.buckthornlever.http.process.HttpObjectStore
-import io.buckthornlever.http.process.SystemClock
+import io.buckthornlever.peer.process.PeerKeys
 import io.buckthornlever.standin.process.ObjectStoreStandIn
 import java.util.concurrent.CopyOnWriteArrayList
 
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/connection/LoadPoller.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/connection/LoadPoller.kt
@@ -7,8 +7,8 @@
 import io.buckthornlever.api.process.UpstreamSpec
 import io.buckthornlever.core.process.UpstreamEvent
 import io.buckthornlever.daemon.process.ConfigurationHolder
-import io.buckthornlever.daemon.process.EventLog
 import io.buckthornlever.daemon.process.LogEvent
+import io.buckthornlever.gateway.process.EventLog
 import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/BackgroundTasks.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/BackgroundTasks.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.daemon.process
 
+import io.buckthornlever.gateway.process.EventLog
 import java.time.Duration
 import java.util.concurrent.Executors
 import java.util.concurrent.RejectedExecutionException
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/ConfigurationEditor.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/ConfigurationEditor.kt
@@ -20,6 +20,7 @@
 import io.buckthornlever.core.process.TableCodec
 import io.buckthornlever.core.process.configuration.ConfigurationValidator
 import io.buckthornlever.daemon.process.control.StoreTables
+import io.buckthornlever.gateway.process.EventLog
 
 /** Changes the stored tables on behalf of operators. A change counts as accepted once the store has confirmed it. */
 internal class ConfigurationEditor(
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/ConfigurationHolder.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/ConfigurationHolder.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.daemon.process
 
 import io.buckthornlever.api.process.Configuration
+import io.buckthornlever.gateway.process.EventLog
 import java.util.concurrent.atomic.AtomicReference
 
 /** The configuration in effect. It only moves forward: of each table the highest revision wins. */
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/Daemon.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.process.Configuration
+import io.buckthornlever.api.process.SystemClock
 import io.buckthornlever.core.request.LeastLoadedSelector
 import io.buckthornlever.daemon.connection.LimitedStatusView
 import io.buckthornlever.daemon.connection.LoadPoller
@@ -26,10 +27,10 @@
 import io.buckthornlever.daemon.version.OutcomeRecorder
 import io.buckthornlever.daemon.version.StatusStore
 import io.buckthornlever.daemon.version.TrafficControl
+import io.buckthornlever.gateway.process.EventLog
 import io.buckthornlever.http.connection.HttpUpstreamClient
 import io.buckthornlever.http.process.HttpInstanceList
 import io.buckthornlever.http.process.HttpObjectStore
-import io.buckthornlever.http.process.SystemClock
 import java.nio.file.Path
 import java.time.Duration
 import java.util.concurrent.TimeUnit
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/LogEvent.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/LogEvent.kt
@@ -1,13 +1,14 @@
 package io.buckthornlever.daemon.process
 
+import io.buckthornlever.gateway.process.LoggedEvent
 import org.slf4j.event.Level
 
 /** Numbered log events; `docs/events.md` describes each of them. */
 internal enum class LogEvent(
-    val code: String,
-    val level: Level,
-    val text: String,
-) {
+    override val code: String,
+    override val level: Level,
+    override val text: String,
+) : LoggedEvent {
     STARTED("BL-1001", Level.INFO, "daemon started"),
     SHUTDOWN_STARTED("BL-1002", Level.INFO, "graceful shutdown started"),
     STOPPED("BL-1003", Level.INFO, "daemon stopped"),
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/ControlReporter.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/process/control/ControlReporter.kt
@@ -8,8 +8,8 @@
 import io.buckthornlever.core.process.membership.MemberUpdate
 import io.buckthornlever.core.process.membership.TableRevisions
 import io.buckthornlever.daemon.process.ConfigurationHolder
-import io.buckthornlever.daemon.process.EventLog
 import io.buckthornlever.daemon.process.LogEvent
+import io.buckthornlever.gateway.process.EventLog
 import java.time.Duration
 
 /** Puts decisions of the control plane into effect in the daemon and into its log. */
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/AttemptRunner.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/AttemptRunner.kt
@@ -12,9 +12,9 @@
 import io.buckthornlever.api.process.UpstreamSpec
 import io.buckthornlever.daemon.connection.UpstreamRegistry
 import io.buckthornlever.daemon.process.DaemonMetrics
-import io.buckthornlever.daemon.process.EventLog
 import io.buckthornlever.daemon.process.LogEvent
 import io.buckthornlever.daemon.version.OutcomeRecorder
+import io.buckthornlever.gateway.process.EventLog
 import java.time.Duration
 
 /** Makes single calls to upstreams and keeps the upstreams' states up to date. */
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelRelay.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/ModelRelay.kt
@@ -1,7 +1,7 @@
 package io.buckthornlever.daemon.request
 
 import io.buckthornlever.api.process.Clock
-import io.buckthornlever.daemon.process.EventLog
+import io.buckthornlever.gateway.process.EventLog
 
 /** Produces completions; when an upstream fails, another one continues after the tokens already received. */
 internal class ModelRelay(
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/RequestPipeline.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/RequestPipeline.kt
@@ -17,8 +17,8 @@
 import io.buckthornlever.core.request.BasicRouteLookup
 import io.buckthornlever.daemon.process.ConfigurationHolder
 import io.buckthornlever.daemon.process.DaemonMetrics
-import io.buckthornlever.daemon.process.EventLog
 import io.buckthornlever.daemon.process.LogEvent
+import io.buckthornlever.gateway.process.EventLog
 import java.io.IOException
 import java.time.Duration
 import java.util.concurrent.TimeUnit
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/StreamRun.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/StreamRun.kt
@@ -18,8 +18,8 @@
 import io.buckthornlever.core.request.StreamLimits
 import io.buckthornlever.core.request.StreamMachine
 import io.buckthornlever.core.request.StreamState
-import io.buckthornlever.daemon.process.EventLog
 import io.buckthornlever.daemon.process.LogEvent
+import io.buckthornlever.gateway.process.EventLog
 import java.io.BufferedReader
 import java.io.IOException
 import java.net.SocketTimeoutException
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/TrafficControl.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/TrafficControl.kt
@@ -15,9 +15,9 @@
 import io.buckthornlever.core.version.VersionMoves
 import io.buckthornlever.daemon.process.ConfigurationHolder
 import io.buckthornlever.daemon.process.Daemon
-import io.buckthornlever.daemon.process.EventLog
 import io.buckthornlever.daemon.process.LogEvent
 import io.buckthornlever.daemon.process.control.ControlPlane
+import io.buckthornlever.gateway.process.EventLog
 import org.jctools.queues.MpscArrayQueue
 import java.time.Duration
 import java.time.Instant
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/EventLog.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/EventLog.kt
@@ -10,7 +10,7 @@
 
     /** Writes [event] with [fields]. */
     public fun write(
-        event: GatewayEvent,
+        event: LoggedEvent,
         vararg fields: Pair<String, Any?>,
     ) {
         if (logger.isEnabledForLevel(event.level)) logger.atLevel(event.level).log(format(event, fields))
@@ -18,7 +18,7 @@
 
     /** Writes [event] with the stack trace of [cause]. */
     public fun failure(
-        event: GatewayEvent,
+        event: LoggedEvent,
         cause: Throwable,
         vararg fields: Pair<String, Any?>,
     ) {
@@ -26,7 +26,7 @@
     }
 
     private fun format(
-        event: GatewayEvent,
+        event: LoggedEvent,
         fields: Array<out Pair<String, Any?>>,
     ): String =
         buildString {
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -4,10 +4,10 @@
 
 /** Numbered log events of the gateway; `docs/events.md` describes each of them. */
 public enum class GatewayEvent(
-    public val code: String,
-    public val level: Level,
-    public val text: String,
-) {
+    override val code: String,
+    override val level: Level,
+    override val text: String,
+) : LoggedEvent {
     STARTED("BL-2001", Level.INFO, "gateway started"),
     SHUTDOWN_STARTED("BL-2002", Level.INFO, "gateway shutdown started"),
     STOPPED("BL-2003", Level.INFO, "gateway stopped"),
