--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -362,7 +362,7 @@
         const val CONFIRMATION_PART = 0.4
 
         /** Waits of watches: the faster a silent connection has to be noticed, the shorter. */
-        val UPSTREAMS_WAIT: Duration = Duration.ofSeconds(3)
+        val UPSTREAMS_WAIT: Duration = Duration.ofMillis(1_500)
         val EVACUATIONS_WAIT: Duration = Duration.ofSeconds(6)
         val INSTANCES_WAIT: Duration = Duration.ofSeconds(15)
     }
--- /dev/null
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/FeedWaitTest.kt
@@ -0,0 +1,165 @@
+package io.buckthornlever.gateway.process
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.process.SystemClock
+import io.buckthornlever.api.serving.DutyOutcome
+import io.buckthornlever.api.serving.SingletonDuties
+import io.buckthornlever.api.serving.StateChanges
+import io.buckthornlever.api.serving.StateFailure
+import io.buckthornlever.api.serving.StateKind
+import io.buckthornlever.api.serving.StateObject
+import io.buckthornlever.api.serving.StatePage
+import io.buckthornlever.api.serving.StateStore
+import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.UpstreamOrder
+import io.buckthornlever.api.serving.UsageWindow
+import io.buckthornlever.core.serving.BeliefLimits
+import io.buckthornlever.core.serving.QuotaBounds
+import io.buckthornlever.gateway.connection.ServerAddress
+import io.buckthornlever.gateway.request.CallerHead
+import io.buckthornlever.gateway.request.CallerProtocol
+import io.buckthornlever.gateway.request.ForwardTarget
+import io.buckthornlever.gateway.request.UpstreamHead
+import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+/**
+ * Guards against requests at a server that left while a watch waited on a connection that had gone silent: the watch has to be
+ * given up before an instance counts as in touch with the store again.
+ */
+class FeedWaitTest {
+    @Test
+    fun `a silent watch of upstreams ends within the time after which an instance counts as in touch`() {
+        val store = RecordingStore()
+        val group = NioEventLoopGroup(1)
+        try {
+            Gateway(settings(), group.next(), SystemClock, NoProtocol, store, NoDuties, EventLog("i")) { }.start()
+            assertTrue(store.watched.await(10, TimeUnit.SECONDS))
+            val wait = store.waits.getValue(StateKind.UPSTREAMS)
+            assertTrue(wait + ANSWER_TIMEOUT + RETRY_PAUSE < IN_TOUCH, "a watch waits for $wait")
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+        }
+    }
+
+    private fun settings(): GatewaySettings {
+        val loopback = ServerAddress("127.0.0.1", 0)
+        return GatewaySettings(
+            instance = "i",
+            domain = FailureDomain("a"),
+            domains = listOf(FailureDomain("a")),
+            callers = loopback,
+            readiness = loopback,
+            peers = loopback,
+            belief = BeliefLimits.of(Duration.ofSeconds(2), Duration.ofSeconds(5)),
+            quota = QuotaBounds(),
+            repeatRatio = 0.2,
+            repeatWindow = Duration.ofSeconds(10),
+            repeatSlack = 50.0,
+            leaseTtl = Duration.ofSeconds(3),
+            usageWindow = null,
+            firstStart = true,
+            grace = Duration.ofSeconds(8),
+        )
+    }
+
+    private class RecordingStore : StateStore {
+        val waits = ConcurrentHashMap<StateKind, Duration>()
+        val watched = CountDownLatch(4)
+
+        override fun list(
+            kind: StateKind,
+            after: String?,
+            stale: Boolean,
+            done: (Result<StatePage, StateFailure>) -> Unit,
+        ) = done(Ok(StatePage(emptyList(), false, 1)))
+
+        override fun watch(
+            kind: StateKind,
+            since: Long,
+            wait: Duration,
+            done: (Result<StateChanges, StateFailure>) -> Unit,
+        ) {
+            waits[kind] = wait
+            watched.countDown()
+        }
+
+        override fun read(
+            kind: StateKind,
+            name: String,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
+        override fun create(
+            kind: StateKind,
+            name: String,
+            value: StateValue,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
+        override fun replace(
+            kind: StateKind,
+            name: String,
+            expected: Long?,
+            value: StateValue,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
+        override fun delete(
+            kind: StateKind,
+            name: String,
+            done: (Result<Unit, StateFailure>) -> Unit,
+        ) = Unit
+    }
+
+    private object NoDuties : SingletonDuties {
+        override fun reportUsage(
+            holder: String,
+            fencing: Long,
+            window: UsageWindow,
+            done: (DutyOutcome) -> Unit,
+        ) = Unit
+
+        override fun orderUpstreams(
+            holder: String,
+            fencing: Long,
+            order: UpstreamOrder,
+            done: (DutyOutcome) -> Unit,
+        ) = Unit
+    }
+
+    private object NoProtocol : CallerProtocol {
+        override fun decode(request: HttpRequest): CallerHead = CallerHead(null, null, null, emptyList(), 0, 0, null)
+
+        override fun forward(
+            request: HttpRequest,
+            target: ForwardTarget,
+        ): HttpHeaders = DefaultHttpHeaders()
+
+        override fun answer(response: HttpResponse): UpstreamHead = UpstreamHead(null, false, false, null, 0, null)
+
+        override fun relay(response: HttpResponse): HttpHeaders = DefaultHttpHeaders()
+    }
+
+    private companion object {
+        /** Time after a disturbance from which the platform's rules hold again on both sites. */
+        val IN_TOUCH: Duration = Duration.ofSeconds(3)
+
+        /** Time that the store client adds to the wait of a watch. */
+        val ANSWER_TIMEOUT: Duration = Duration.ofMillis(900)
+
+        /** Longest pause of a feed after a failure. */
+        val RETRY_PAUSE: Duration = Duration.ofMillis(400)
+    }
+}
