--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
@@ -1,7 +1,6 @@
 package io.buckthornlever.gateway.connection
 
 import io.buckthornlever.api.process.Clock
-import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -84,7 +83,6 @@
         try {
             when {
                 closing -> Unit
-                message is ByteBuf -> Unit
                 message is HttpObject && message.decoderResult().isFailure -> malformed(message.decoderResult().cause())
                 else -> {
                     if (message is HttpRequest) head(message)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerListener.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerListener.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
+import java.net.InetSocketAddress
 
 /** Accepts connections of callers. */
 public class CallerListener(
@@ -42,7 +43,7 @@
                 .sync()
                 .channel()
         listening = channel
-        return (channel.localAddress() as java.net.InetSocketAddress).port
+        return (channel.localAddress() as InetSocketAddress).port
     }
 
     /** Closes the connections on which no request is read or served. */
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.gateway.process
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.buckthornlever.api.process.Clock
@@ -58,7 +59,7 @@
     fun tick() {
         val now = Moment.of(clock)
         if (state.held != null || state.pending != null || now.nanos >= othersHoldUntil) step(LeaseEvent.Tick)
-        if (usageWindow != null && permit() != null) reportUsage(now.wallMillis, usageWindow)
+        if (usageWindow != null && permit() != null) reportUsage(now.wallMillis)
     }
 
     private fun permit(): LeasePermit? = machine.permit(state, true, Moment.of(clock))?.takeIf { it.fencing > fenced }
@@ -93,7 +94,7 @@
     private fun write(command: LeaseCommand.Write) {
         val record = command.record
         val value = StateValue.Lease(StoredDutyLease(record.holder?.value, record.fencing, record.token, record.ttlMillis))
-        val done = { result: com.github.michaelbull.result.Result<StateObject, StateFailure> ->
+        val done = { result: Result<StateObject, StateFailure> ->
             result.onSuccess { step(LeaseEvent.WriteDone(record.token, ObjectVersion(it.revision))) }
             result.onFailure { failure ->
                 step(if (failure is StateFailure.Refused) LeaseEvent.WriteFailed(record.token) else LeaseEvent.WriteUncertain(record.token))
@@ -114,17 +115,13 @@
         return StoredLease(ObjectVersion(found.revision), record)
     }
 
-    private fun reportUsage(
-        wallMillis: Long,
-        window: Duration,
-    ) {
+    private fun reportUsage(wallMillis: Long) {
         val newest = ledger.windowOf(wallMillis - SETTLE.toMillis()) - 1
         for (index in newest - REPEATED_WINDOWS..newest) {
             if (index in settled || !pending.add(index)) continue
             fix(index)
         }
         ledger.forgetBefore(newest - REMEMBERED_WINDOWS)
-        check(!window.isNegative)
     }
 
     /** Fixes the counts of window [index] in the store, or takes those that are there. */
