--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -18,6 +18,7 @@
 import io.buckthornlever.core.serving.AccountQuotas
 import io.buckthornlever.core.serving.CrashTally
 import io.buckthornlever.core.serving.DemandMeter
+import io.buckthornlever.core.serving.LapseHold
 import io.buckthornlever.core.serving.RepeatBudget
 import io.buckthornlever.core.serving.ServingBelief
 import io.buckthornlever.core.serving.UpstreamBoard
@@ -74,7 +75,7 @@
     private val evacuated = HashSet<FailureDomain>()
     private var live: Set<String>? = null
     private var storeLost = false
-    private var storeBackAt = Long.MIN_VALUE / 2
+    private val lapses = LapseHold()
     private var wasReady = false
     private var stoppingSince: Long? = null
     private var quotasSavedAt = Long.MIN_VALUE / 2
@@ -144,8 +145,8 @@
             belief.paused()
             log.write(GatewayEvent.PAUSE_DETECTED, "millis" to paused.toMillis())
         }
-        if (!storeLost) {
-            board.lapsedBefore(now - LAPSE_HOLD.toNanos()).forEach { log.write(GatewayEvent.UPSTREAM_GONE, "upstream" to it) }
+        if (!lapses.isOpen(now)) {
+            board.lapsedBefore(now).forEach { log.write(GatewayEvent.UPSTREAM_GONE, "upstream" to it) }
         }
         members()
         if (stoppingSince == null) runner.tick()
@@ -274,9 +275,9 @@
             kind: StateKind,
             sentNanos: Long,
         ) {
+            if (kind == StateKind.UPSTREAMS) lapses.answered(clock.monotonicNanos())
             if (!storeLost) return
             storeLost = false
-            storeBackAt = clock.monotonicNanos()
             log.write(GatewayEvent.STORE_REGAINED, "kind" to kind)
         }
 
@@ -288,7 +289,9 @@
             kind: StateKind,
             failure: StateFailure,
         ) {
-            if (failure == StateFailure.HistoryGone || storeLost) return
+            if (failure == StateFailure.HistoryGone) return
+            if (kind == StateKind.UPSTREAMS) lapses.failed()
+            if (storeLost) return
             storeLost = true
             log.write(GatewayEvent.STORE_LOST, "kind" to kind, "failure" to failure)
         }
@@ -312,7 +315,7 @@
 
     private fun upstreamDeleted(id: UpstreamId) {
         val now = clock.monotonicNanos()
-        if (storeLost || now - storeBackAt <= LAPSE_HOLD.toNanos()) {
+        if (lapses.isOpen(now)) {
             board.lapsed(id, now)
             log.write(GatewayEvent.UPSTREAM_LAPSED, "upstream" to id)
         } else {
@@ -355,9 +358,6 @@
         /** Several round trips between failure domains; a lost opening packet counts as no connection. */
         val UPSTREAM_CONNECT_TIMEOUT: Duration = Duration.ofMillis(400)
 
-        /** Time after the store's return in which living upstreams register again. */
-        val LAPSE_HOLD: Duration = Duration.ofMillis(2_300)
-
         /** Part of the age beyond which an instance is not ready, so that one lost answer does not make it so. */
         const val CONFIRMATION_PART = 0.4
 
