Follow the shared state through relays, bound bursts on quotas, park requests before the first table

One instance of a small site, and one of each failure domain of a larger one, now follows the store for the others, which ask it over their internal port. An answer carries the time up to which it is complete, counted from the arrival of the question, so that a pause on either side never makes it look newer. A relay that cannot vouch for what it knows refuses, and the store is asked.

Orders: reclaimable upstreams carry the load, as many that one failure domain can lose its own.

--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/CallerLimits.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/CallerLimits.kt
@@ -1,5 +1,9 @@
+@file:UseSerializers(DurationSerializer::class)
+
 package io.buckthornlever.api.serving
 
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.UseSerializers
 import java.time.Duration
 
 /**
@@ -8,6 +12,7 @@
  * @property headerTimeout longest time for the head of a request
  * @property idleTimeout longest time without a request on an open connection
  */
+@Serializable
 public data class CallerLimits(
     val maxHeaderBytes: Int = 16_384,
     val maxBodyBytes: Int = 4_194_304,
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/DiscoveredUpstream.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/DiscoveredUpstream.kt
@@ -1,8 +1,12 @@
+@file:UseSerializers(DurationSerializer::class)
+
 package io.buckthornlever.api.serving
 
 import io.buckthornlever.api.connection.UpstreamId
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.version.VersionLabel
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.UseSerializers
 import java.time.Duration
 
 /**
@@ -14,6 +18,7 @@
  * @property coldFor how much longer it bears little load; zero when warm
  * @property reclaimable true when the platform may take it away at short notice
  */
+@Serializable
 public data class DiscoveredUpstream(
     val id: UpstreamId,
     val service: String,
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ScalingLimits.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ScalingLimits.kt
@@ -1,6 +1,10 @@
+@file:UseSerializers(DurationSerializer::class)
+
 package io.buckthornlever.api.serving
 
 import io.buckthornlever.api.process.FailureDomain
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.UseSerializers
 import java.time.Duration
 
 /**
@@ -12,6 +16,7 @@
  * @property reclaimablePrice price of a reclaimable upstream relative to an on-demand one; null when none are offered
  * @property domainPrices price of one upstream-second by failure domain
  */
+@Serializable
 public data class ScalingLimits(
     val minimum: Int,
     val maximum: Int,
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServedAccount.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServedAccount.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.api.serving
 
 import io.buckthornlever.api.process.AccountId
+import kotlinx.serialization.Serializable
 
 /**
  * A client account with its keys and its quota over all instances.
@@ -11,6 +12,7 @@
  * @property ratePerSecond quota in [unit] per second; 0 means no limit
  * @property burst units that may be used at once beside [ratePerSecond]
  */
+@Serializable
 public data class ServedAccount(
     val id: AccountId,
     val keys: Set<String>,
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServedRoute.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServedRoute.kt
@@ -1,5 +1,9 @@
+@file:UseSerializers(DurationSerializer::class)
+
 package io.buckthornlever.api.serving
 
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.UseSerializers
 import java.time.Duration
 
 /**
@@ -15,6 +19,7 @@
  * @property public true when the route needs no key
  * @property resumable true when a broken stream may go on at another upstream
  */
+@Serializable
 public data class ServedRoute(
     val name: String,
     val host: String,
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServedService.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServedService.kt
@@ -1,5 +1,7 @@
 package io.buckthornlever.api.serving
 
+import kotlinx.serialization.Serializable
+
 /**
  * A group of equal upstreams.
  *
@@ -9,6 +11,7 @@
  * @property engine true when the upstreams are model engines
  * @property scaling null when upstreams of the service cannot be ordered
  */
+@Serializable
 public data class ServedService(
     val name: String,
     val healthPath: String,
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServingTable.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/ServingTable.kt
@@ -1,12 +1,15 @@
 package io.buckthornlever.api.serving
 
 import io.buckthornlever.api.process.AccountId
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 
 /**
  * One version of all routes, services, client accounts and caller limits.
  *
  * @property version grows with every change, not always by one
  */
+@Serializable
 public data class ServingTable(
     val version: Long,
     val routes: List<ServedRoute>,
@@ -14,10 +17,17 @@
     val accounts: List<ServedAccount>,
     val limits: CallerLimits = CallerLimits(),
 ) {
+    @Transient
     private val byHost: Map<String, List<ServedRoute>> =
         routes.groupBy { it.host.lowercase() }.mapValues { (_, all) -> all.sortedByDescending { it.pathPrefix.length } }
+
+    @Transient
     private val byKey: Map<String, ServedAccount> = accounts.flatMap { account -> account.keys.map { it to account } }.toMap()
+
+    @Transient
     private val byAccount: Map<AccountId, ServedAccount> = accounts.associateBy { it.id }
+
+    @Transient
     private val byService: Map<String, ServedService> = services.associateBy { it.name }
 
     /** Route of [host] with the longest prefix that begins [path], or null. */
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
@@ -1,41 +1,52 @@
 package io.buckthornlever.api.serving
 
+import kotlinx.serialization.Serializable
+
 /** Decoded content of a [StateObject]. */
+@Serializable
 public sealed interface StateValue {
     /** Content of [StateKind.SERVING_TABLE]. */
+    @Serializable
     public data class Table(
         val table: ServingTable,
     ) : StateValue
 
     /** Content of [StateKind.UPSTREAMS]. */
+    @Serializable
     public data class Upstream(
         val upstream: DiscoveredUpstream,
     ) : StateValue
 
     /** Content of [StateKind.EVACUATIONS]; the object's name is the failure domain. */
+    @Serializable
     public data object Evacuation : StateValue
 
     /** Content of [StateKind.VERSION_ORDERS]. */
+    @Serializable
     public data class Order(
         val order: VersionOrder,
     ) : StateValue
 
     /** Content of [StateKind.INSTANCES]. */
+    @Serializable
     public data class Instance(
         val record: InstanceRecord,
     ) : StateValue
 
     /** Content of [StateKind.LEASES]. */
+    @Serializable
     public data class Lease(
         val lease: StoredDutyLease,
     ) : StateValue
 
     /** Content of [StateKind.QUOTA_SNAPSHOTS]. */
+    @Serializable
     public data class Quota(
         val snapshot: QuotaSnapshot,
     ) : StateValue
 
     /** Content of [StateKind.USAGE_WINDOWS]. */
+    @Serializable
     public data class Usage(
         val window: UsageWindow,
     ) : StateValue
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StoredDutyLease.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StoredDutyLease.kt
@@ -1,5 +1,7 @@
 package io.buckthornlever.api.serving
 
+import kotlinx.serialization.Serializable
+
 /**
  * Content of the lease object of the singleton duties.
  *
@@ -8,6 +10,7 @@
  * @property token unique per write
  * @property ttlMillis time from the write after which an unchanged record has expired, in milliseconds
  */
+@Serializable
 public data class StoredDutyLease(
     val holder: String?,
     val fencing: Long,
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/VersionOrder.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/VersionOrder.kt
@@ -1,6 +1,10 @@
+@file:UseSerializers(DurationSerializer::class)
+
 package io.buckthornlever.api.serving
 
 import io.buckthornlever.api.version.VersionLabel
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.UseSerializers
 import java.time.Duration
 
 /**
@@ -8,6 +12,7 @@
  *
  * @property duration time in which the move has to be decided
  */
+@Serializable
 public data class VersionOrder(
     val service: String,
     val target: VersionLabel,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AccountQuotas.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AccountQuotas.kt
@@ -7,10 +7,11 @@
 /**
  * Quotas of client accounts over all instances. Each instance counts its own usage and what its peers tell of theirs in a
  * sliding window. A peer that is silent is charged an equal part of the quota, since it may be spending that much; an
- * instance that hears nobody is thus left with its own equal part. Not thread-safe.
+ * instance that hears nobody is thus left with its own equal part. What peers have admitted since they were last heard is
+ * estimated, since all of them see the same room when some comes free. Not thread-safe.
  *
- * A process that starts while others have served does not know what was used before; until it has [restore]d a snapshot, its
- * equal part counts as used and comes free over one window.
+ * A process that starts while others have served does not know what was used before; until it has [restore]d a snapshot, all
+ * but its equal part counts as used, and that part comes free over one window.
  *
  * @param incarnation start of this process, as it tells its peers
  * @param startNanos monotonic time of the start; not given when nothing can have been used before
@@ -22,8 +23,19 @@
 ) {
     private var before: HashMap<AccountId, Usage>? = if (startNanos == NEVER) HashMap() else null
     private val own = HashMap<AccountId, Usage>()
+    private val untold = HashMap<AccountId, SlidingSum>()
     private val peers = HashMap<String, Peer>()
 
+    /** Interval in which instances tell each other what they have used. */
+    public var tellInterval: Duration = Duration.ofMillis(250)
+        set(value) {
+            if (value != field) untold.clear()
+            field = value
+        }
+
+    /** True once it is known what was used before this process started. */
+    public val isRestored: Boolean get() = before != null
+
     /** Charges [cost] units to [account] and returns true, or returns false when the quota is used up. */
     public fun admit(
         account: ServedAccount,
@@ -33,6 +45,7 @@
         val usage = own.getOrPut(account.id) { Usage(bounds.window) }
         if (account.ratePerSecond > 0 && used(account, nanos) + cost > limit(account)) return false
         usage.add(cost, nanos)
+        untold.getOrPut(account.id) { SlidingSum(lagNanos()) }.add(cost, nanos)
         return true
     }
 
@@ -96,7 +109,11 @@
         part: Double,
         nanos: Long,
     ): Double {
-        val known = before ?: return part * maxOf(0.0, 1.0 - (nanos - startNanos).toDouble() / bounds.window.toNanos())
+        val known = before
+        if (known == null) {
+            val passed = (nanos - startNanos).toDouble() / bounds.window.toNanos()
+            return if (passed < 1.0) limit(account) - part * passed else 0.0
+        }
         return known[account.id]?.sum(nanos) ?: 0.0
     }
 
@@ -105,14 +122,30 @@
         nanos: Long,
     ): Double {
         val part = limit(account) / (peers.size + 1)
-        return (own[account.id]?.sum(nanos) ?: 0.0) +
-            usedBefore(account, part, nanos) +
+        val ownUsed = own[account.id]?.sum(nanos) ?: 0.0
+        val peersUsed =
             peers.values.sumOf { peer ->
                 val known = peer.usage[account.id]?.sum(nanos) ?: 0.0
-                if (nanos - peer.heardAt > SILENCE.toNanos()) maxOf(known, part) else known
+                if (nanos - peer.heardAt > silenceNanos()) maxOf(known, part) else known
             }
+        return ownUsed + usedBefore(account, part, nanos) + peersUsed + untoldByPeers(account, ownUsed + peersUsed, nanos)
+    }
+
+    /** What peers may have admitted since they were heard: as much as this instance, or a few times their usual pace. */
+    private fun untoldByPeers(
+        account: ServedAccount,
+        used: Double,
+        nanos: Long,
+    ): Double {
+        val ownUntold = untold[account.id]?.sum(nanos) ?: 0.0
+        val usual = used * lagNanos() / bounds.window.toNanos()
+        return minOf(ownUntold * peers.size, usual * BURST_FACTOR)
     }
 
+    private fun lagNanos(): Long = tellInterval.toNanos() + DELIVERY.toNanos()
+
+    private fun silenceNanos(): Long = maxOf(SILENCE.toNanos(), SILENT_INTERVALS * tellInterval.toNanos())
+
     private fun limit(account: ServedAccount): Double {
         val owed = account.ratePerSecond * bounds.window.toMillis() / MILLIS_PER_SECOND + account.burst
         return owed + USED_TOLERANCE * (owed * bounds.overshoot + bounds.slack)
@@ -168,7 +201,16 @@
         /** Far enough in the past to count as silent, near enough not to overflow. */
         private const val NEVER = Long.MIN_VALUE / 2
 
-        /** Several intervals of peer messages. */
+        /** Silence that a few lost datagrams do not explain. */
         val SILENCE: Duration = Duration.ofMillis(1_500)
+
+        /** Intervals without a message after which a peer counts as silent. */
+        const val SILENT_INTERVALS = 3
+
+        /** Time in which a datagram arrives and is read, on a busy machine. */
+        val DELIVERY: Duration = Duration.ofMillis(100)
+
+        /** Pace of a burst as a multiple of the usual one. */
+        const val BURST_FACTOR = 3.0
     }
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
@@ -8,9 +8,9 @@
 /**
  * Decides how many upstreams of one service should run in each failure domain.
  *
- * The on-demand part is the floor that stays when reclaimable upstreams of whole failure domains are taken back; the
- * reclaimable part carries the usual load at a lower price. On-demand upstreams are given up only once reclaimable ones are
- * warm, and added where a reclaim leaves less than the demand needs. Not thread-safe.
+ * Reclaimable upstreams carry the load, as many that those of one failure domain can be taken away at once. On-demand upstreams
+ * make up for what a further such loss would leave short, so that they run only between a reclaim and the start of the
+ * replacements elsewhere. Without reclaimable upstreams, on-demand ones carry all. Not thread-safe.
  */
 public class CapacityPlan(
     private val service: String,
@@ -18,44 +18,104 @@
     private var planned = 0
     private var planFrom = Long.MIN_VALUE
     private var shrinkAfter = Long.MIN_VALUE
-    private var extra = 0
-    private var extraUntil = Long.MIN_VALUE
+    private var onDemand = 0
+    private var onDemandUntil = Long.MIN_VALUE
+    private val offered = HashSet<FailureDomain>()
 
-    /** Wanted counts by failure domain and kind; empty while no upstream of the service is known. */
+    /**
+     * Wanted counts by failure domain and kind; empty while no upstream of the service is known.
+     *
+     * @param evacuated failure domains whose upstreams get no requests
+     */
     public fun orders(
         limits: ScalingLimits,
         domains: List<FailureDomain>,
         upstreams: List<UpstreamEntry>,
         tokensPerSecond: Double,
         nanos: Long,
+        evacuated: Set<FailureDomain> = emptySet(),
     ): List<UpstreamOrder> {
-        val serving = upstreams.filter { it.upstream.service == service && !it.upstream.leaving }
-        if (serving.isEmpty() || domains.isEmpty()) return emptyList()
+        val present = upstreams.filter { it.upstream.service == service && !it.upstream.leaving }
+        if (present.isEmpty() || domains.isEmpty()) return emptyList()
         if (planFrom == Long.MIN_VALUE) planFrom = nanos + SETTLE_NANOS
         if (nanos < planFrom) return emptyList()
-        val needed = needed(serving.size, tokensPerSecond, nanos)
-        val perDomain = ceil(needed.toDouble() / domains.size).toInt()
-        val most = ceil(limits.maximum * ON_DEMAND_PART).toInt()
-        val floor = maxOf(limits.minimum, minOf(most, ceil(perDomain * ON_DEMAND_PART).toInt()))
-        if (limits.reclaimablePrice == null) return domains.map { order(it, maxOf(floor, perDomain).coerceAtMost(limits.maximum), false) }
-        val reclaimable = minOf(perDomain, limits.maximum - floor)
-        val warm = serving.filter { !it.isCold(nanos) }
-        updateExtra(needed, warm.size, nanos)
-        val cheapest = domains.sortedBy { limits.domainPrices[it] ?: 1.0 }
-        return domains.flatMap { domain ->
-            val onDemandHere = serving.count { it.upstream.domain == domain && !it.upstream.reclaimable }
-            val more = (extra + cheapest.size - 1 - cheapest.indexOf(domain)) / cheapest.size
-            val target = floor + more
-            // The first order of a kind that has never run here must not take away what serves now.
-            val mayShrink = warm.count { it.upstream.domain == domain && it.upstream.reclaimable } >= reclaimable
-            val onDemand = if (mayShrink || onDemandHere < target) target else onDemandHere
+        val needed = needed(present.size, tokensPerSecond, nanos)
+        val open = domains.filter { it !in evacuated }.ifEmpty { domains }
+        if (limits.reclaimablePrice == null) return onDemandOnly(limits, domains, open, needed, present)
+        val fleet = domains.associateWith { domain -> Fleet(present.filter { it.upstream.domain == domain }, nanos) }
+        return mixed(limits, fleet, open, needed, nanos)
+    }
+
+    private fun onDemandOnly(
+        limits: ScalingLimits,
+        domains: List<FailureDomain>,
+        open: List<FailureDomain>,
+        needed: Int,
+        present: List<UpstreamEntry>,
+    ): List<UpstreamOrder> {
+        val each = ceil(needed.toDouble() / open.size).toInt()
+        return domains.map { domain ->
+            val wanted = if (domain in open) each else present.count { it.upstream.domain == domain }
+            order(domain, wanted.coerceIn(limits.minimum, limits.maximum), false)
+        }
+    }
+
+    private fun mixed(
+        limits: ScalingLimits,
+        fleet: Map<FailureDomain, Fleet>,
+        open: List<FailureDomain>,
+        needed: Int,
+        nanos: Long,
+    ): List<UpstreamOrder> {
+        val sources = open.filterNot { fleet.getValue(it).isDry(it) }.ifEmpty { open }
+        val spare = maxOf(1, sources.size - 1)
+        val reclaimable = ceil(needed.toDouble() / spare).toInt().coerceIn(1, maxOf(1, limits.maximum))
+        val extra = onDemand(needed, open.map { fleet.getValue(it) }, nanos)
+        val dry = open.filter { it !in sources }
+        val shares = divide(extra, dry.ifEmpty { open }.sortedBy { limits.domainPrices[it] ?: 1.0 })
+        return fleet.flatMap { (domain, here) ->
+            val wantedReclaimable = if (domain in open) reclaimable else here.reclaimable
+            val floor = if (here.reclaimable == 0) limits.minimum else 0
+            // The first orders must not take away what serves before the reclaimable upstreams are warm.
+            val keep = if (here.warmReclaimable < wantedReclaimable && domain !in offered) here.onDemand else 0
+            if (here.warmReclaimable >= wantedReclaimable) offered.add(domain)
+            val wantedOnDemand = maxOf(shares[domain] ?: 0, floor, keep).coerceAtMost(limits.maximum)
+            // Both kinds together are limited; where reclaimable upstreams are to be had they come first.
+            val most = if (here.reclaimable == 0) limits.maximum - wantedOnDemand else limits.maximum
+            val reclaimableHere = minOf(wantedReclaimable, most)
             listOf(
-                order(domain, onDemand.coerceIn(limits.minimum, limits.maximum - reclaimable), false),
-                order(domain, reclaimable, true),
+                order(domain, minOf(wantedOnDemand, limits.maximum - reclaimableHere), false),
+                order(domain, reclaimableHere, true),
             )
         }
     }
 
+    /** A domain that has had reclaimable upstreams and has none now offers none for some time. */
+    private fun Fleet.isDry(domain: FailureDomain): Boolean = domain in offered && reclaimable == 0
+
+    /** On-demand upstreams over all domains that cover the loss of the largest group of reclaimable ones. */
+    private fun onDemand(
+        needed: Int,
+        fleets: List<Fleet>,
+        nanos: Long,
+    ): Int {
+        val sure = fleets.sumOf { it.reclaimable } - fleets.maxOf { it.reclaimable }
+        val missing = maxOf(0, needed - sure)
+        if (missing >= onDemand || nanos > onDemandUntil) {
+            if (missing > 0) onDemandUntil = nanos + EXTRA_NANOS
+            onDemand = missing
+        }
+        return onDemand
+    }
+
+    private fun divide(
+        total: Int,
+        domains: List<FailureDomain>,
+    ): Map<FailureDomain, Int> =
+        domains
+            .withIndex()
+            .associate { (index, domain) -> domain to (total + domains.size - 1 - index) / domains.size }
+
     private fun needed(
         running: Int,
         tokensPerSecond: Double,
@@ -76,37 +136,30 @@
         return planned
     }
 
-    private fun updateExtra(
-        needed: Int,
-        warm: Int,
-        nanos: Long,
-    ) {
-        val missing = needed - warm
-        if (missing >= LEAST_MISSING) {
-            extra = maxOf(extra, missing)
-            extraUntil = nanos + EXTRA_NANOS
-        } else if (nanos > extraUntil) {
-            extra = 0
-        }
-    }
-
     private fun order(
         domain: FailureDomain,
         count: Int,
         reclaimable: Boolean,
     ): UpstreamOrder = UpstreamOrder(service, domain, count, reclaimable)
 
-    private companion object {
-        /** Prompt tokens per second that one engine serves with first tokens in time, with a part of the prompts cached. */
-        const val TOKENS_PER_UPSTREAM = 45_000.0
-
-        /** Part of the needed upstreams that is not reclaimable. */
-        const val ON_DEMAND_PART = 1.0 / 3
+    /** Upstreams of one failure domain that have not announced their end. */
+    private class Fleet(
+        present: List<UpstreamEntry>,
+        nanos: Long,
+    ) {
+        val reclaimable = present.count { it.upstream.reclaimable }
+        val warmReclaimable = present.count { it.upstream.reclaimable && !it.isCold(nanos) }
+        val onDemand = present.size - reclaimable
+    }
 
-        /** Upstreams that may be missing for a moment without a replacement, such as one that is just starting. */
-        const val LEAST_MISSING = 2
+    private companion object {
+        /**
+         * Prompt tokens per second at which one engine starts answers in time: under half of what it reads when it does nothing
+         * else, since it also generates and the largest prompts must not wait behind each other.
+         */
+        const val TOKENS_PER_UPSTREAM = 30_000.0
 
-        /** Time for which replacements stay; the platform has reclaimable upstreams again after about this time. */
+        /** Time for which on-demand upstreams stay; the platform has reclaimable upstreams again after about this time. */
         const val EXTRA_NANOS = 10_000_000_000L
 
         /** Time after the first upstream was seen in which the others register. */
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBoard.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBoard.kt
@@ -20,12 +20,15 @@
 ) {
     private val entries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val pacer = ColdPacer(self)
-    private var evacuated: Set<FailureDomain> = emptySet()
     private var table: ServingTable? = null
 
     /** All known upstreams. */
     public val upstreams: Collection<UpstreamEntry> get() = entries.values
 
+    /** Failure domains whose upstreams get nothing. */
+    public var evacuated: Set<FailureDomain> = emptySet()
+        private set
+
     /** Takes the services of [table]. */
     public fun configure(table: ServingTable) {
         this.table = table
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UsageLedger.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UsageLedger.kt
@@ -21,8 +21,11 @@
         own.getOrPut(windowOf(wallMillis)) { HashMap() }.merge(account, 1L, Long::plus)
     }
 
-    /** Counts of this instance for the last windows. */
-    public fun ownWindows(): Map<Long, Map<AccountId, Long>> = own
+    /** Counts of this instance for the newest windows, which peers have to hear of before they are reported. */
+    public fun tellableWindows(): Map<Long, Map<AccountId, Long>> {
+        val newest = own.keys.maxOrNull() ?: return emptyMap()
+        return own.filterKeys { it > newest - TOLD_WINDOWS }
+    }
 
     /** Takes the counts that [peer] in its [incarnation] has made for some windows; newer counts replace older ones. */
     public fun heard(
@@ -47,4 +50,9 @@
         peers.values.forEach { windows -> windows.keys.removeIf { it < index } }
         peers.values.removeIf { it.isEmpty() }
     }
+
+    private companion object {
+        /** The current window and the one before; a report follows soon after a window's end. */
+        const val TOLD_WINDOWS = 2
+    }
 }
--- /dev/null
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/RelayLogTest.kt
@@ -0,0 +1,71 @@
+package io.buckthornlever.core.serving
+
+import io.buckthornlever.api.serving.StateObject
+import java.time.Duration
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** Guards against followers that miss a change or trust a relay that has lost the store. */
+class RelayLogTest {
+    private val log = RelayLog(Duration.ofNanos(100))
+
+    @Test
+    fun `nothing is vouched for before the store was read`() {
+        assertIs<RelayReply.Unavailable>(log.reply(null, 0))
+    }
+
+    @Test
+    fun `a follower gets every change after its revision`() {
+        log.changed(StateObject("a", 3, null))
+        log.synchronised(5, 10)
+        log.changed(StateObject("b", 7, null))
+        log.deleted("a")
+        assertTrue(log.synchronised(8, 20))
+        val reply = assertIs<RelayReply.Changes>(log.reply(5, 30))
+        assertEquals(listOf("b" to false, "a" to true), reply.changes.map { it.changed.name to it.deleted })
+        assertEquals(8, reply.revision)
+        assertEquals(20, reply.asOfNanos)
+        assertEquals(listOf("b"), assertIs<RelayReply.Changes>(log.reply(null, 30)).changes.map { it.changed.name })
+    }
+
+    @Test
+    fun `a follower from before the first listing has to list`() {
+        log.synchronised(5, 10)
+        assertIs<RelayReply.Forgotten>(log.reply(4, 20))
+    }
+
+    @Test
+    fun `a follower that is ahead gets nothing and keeps its revision`() {
+        log.synchronised(5, 10)
+        assertEquals(RelayReply.Changes(emptyList(), 9, 10), log.reply(9, 20))
+    }
+
+    @Test
+    fun `an old confirmation is not passed on`() {
+        log.synchronised(5, 10)
+        assertTrue(log.isAvailable(110))
+        assertIs<RelayReply.Unavailable>(log.reply(5, 111))
+        log.synchronised(5, 100)
+        assertIs<RelayReply.Changes>(log.reply(5, 111))
+    }
+
+    @Test
+    fun `a pause of the machine takes the confirmation away`() {
+        log.synchronised(5, 10)
+        log.paused()
+        assertFalse(log.isAvailable(11))
+    }
+
+    @Test
+    fun `changes beyond the limit are forgotten`() {
+        log.synchronised(1, 1)
+        repeat(2_000) {
+            log.changed(StateObject("a", it + 2L, null))
+            log.synchronised(it + 2L, 1)
+        }
+        assertIs<RelayReply.Forgotten>(log.reply(1, 1))
+    }
+}
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -19,6 +19,7 @@
 import io.buckthornlever.core.serving.CrashTally
 import io.buckthornlever.core.serving.DemandMeter
 import io.buckthornlever.core.serving.LapseHold
+import io.buckthornlever.core.serving.RelayLog
 import io.buckthornlever.core.serving.RepeatBudget
 import io.buckthornlever.core.serving.ServingBelief
 import io.buckthornlever.core.serving.UpstreamBoard
@@ -42,7 +43,7 @@
     private val loop: EventLoop,
     private val clock: Clock,
     private val protocol: CallerProtocol,
-    private val store: StateStore,
+    private val directStore: StateStore,
     duties: SingletonDuties,
     private val log: EventLog,
     private val onStopped: () -> Unit,
@@ -67,7 +68,13 @@
     private val admission = RequestAdmission(context)
     private val callers = CallerListener(loop, admission, clock)
     private val probes = CallerListener(loop, ProbeService(::isReady, metrics), clock)
+    private val record =
+        InstanceRecord(settings.instance, settings.peers.host, settings.peers.port, settings.domain, settings.linkMegabits)
+    private val relayLogs = FOLLOWED.associateWith { RelayLog(RelayWaits.maxAge(it)) }
+    private val relay = RelayService(loop, clock, relayLogs, ::checkPause)
+    private val followers = CallerListener(loop, relay, clock)
     private val peers = PeerExchange(loop, clock, settings.instance, ::peerState, ::heard)
+    private val store: StateStore = RelayedStore(directStore, record, peers::members, loop, clock, log)
     private val runner = DutyRunner(settings.instance, clock, store, duties, usage, settings.usageWindow, settings.leaseTtl, log)
     private val orders =
         OrderRunner(settings.instance, settings.domains, clock, duties, board, demand, log, runner::superseded)
@@ -84,6 +91,7 @@
     public fun start() {
         val port = callers.listen(settings.callers)
         probes.listen(settings.readiness)
+        followers.listen(settings.peers)
         loop.execute {
             peers.start(settings.peers)
             feeds().forEach { (kind, wait) -> StateFeed(kind, wait, store, loop, clock, Feed(kind)).start() }
@@ -140,11 +148,8 @@
     private fun tick() {
         loop.schedule({ tick() }, TICK_MILLIS, TimeUnit.MILLISECONDS)
         val now = clock.monotonicNanos()
-        val paused = pauses.check(now, clock.now().toEpochMilli())
-        if (!paused.isZero) {
-            belief.paused()
-            log.write(GatewayEvent.PAUSE_DETECTED, "millis" to paused.toMillis())
-        }
+        checkPause()
+        relay.tick()
         if (!lapses.isOpen(now)) {
             board.lapsedBefore(now).forEach { log.write(GatewayEvent.UPSTREAM_GONE, "upstream" to it) }
         }
@@ -156,11 +161,20 @@
         if (fencing != null && now - quotasSavedAt >= SAVE_QUOTAS.toNanos()) saveQuotas(now)
     }
 
+    private fun checkPause() {
+        val paused = pauses.check(clock.monotonicNanos(), clock.now().toEpochMilli())
+        if (paused.isZero) return
+        belief.paused()
+        relayLogs.values.forEach { it.paused() }
+        log.write(GatewayEvent.PAUSE_DETECTED, "millis" to paused.toMillis())
+    }
+
     private fun members() {
         val now = peers.live()
         if (now == live) return
         live = now
         quotas.members(now)
+        quotas.tellInterval = peers.interval
         repeats.instances = now.size + 1
         board.members((now + settings.instance).mapTo(HashSet()) { InstanceId(it) })
         log.write(GatewayEvent.PEERS_CHANGED, "live" to now.size + 1)
@@ -175,11 +189,11 @@
         )
 
     private fun register() {
-        val record = StateValue.Instance(InstanceRecord(settings.instance, settings.peers.host, settings.peers.port))
-        store.create(StateKind.INSTANCES, settings.instance, record) { result ->
+        val value = StateValue.Instance(record)
+        store.create(StateKind.INSTANCES, settings.instance, value) { result ->
             result.onFailure { failure ->
                 when (failure) {
-                    is StateFailure.Conflict -> store.replace(StateKind.INSTANCES, settings.instance, null, record) { again ->
+                    is StateFailure.Conflict -> store.replace(StateKind.INSTANCES, settings.instance, null, value) { again ->
                         again.onFailure { registerLater() }
                     }
                     else -> registerLater()
@@ -192,9 +206,10 @@
         loop.schedule({ register() }, REGISTER_AGAIN_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    /** Takes over what was used before this process started; without the store its equal part counts as used. */
+    /** Takes over what was used before this process started. */
     private fun restoreQuotas() {
         store.read(StateKind.QUOTA_SNAPSHOTS, QUOTAS_NAME) { result ->
+            result.onFailure { loop.schedule({ restoreQuotas() }, RESTORE_AGAIN_MILLIS, TimeUnit.MILLISECONDS) }
             result.onSuccess { found ->
                 val snapshot = (found.value as? StateValue.Quota)?.snapshot ?: return@onSuccess
                 val age = Duration.ofMillis(clock.now().toEpochMilli() - snapshot.takenAtMillis)
@@ -216,7 +231,7 @@
             settings.instance,
             incarnation,
             quotas.totals().mapKeys { it.key.value },
-            usage.ownWindows().mapValues { (_, counts) -> counts.mapKeys { it.key.value } },
+            usage.tellableWindows().mapValues { (_, counts) -> counts.mapKeys { it.key.value } },
             crashes.counts(clock.monotonicNanos()),
             demand.ownTotals,
             runner.fencing,
@@ -238,6 +253,7 @@
             kind: StateKind,
             changed: StateObject,
         ) {
+            relayLogs.getValue(kind).changed(changed)
             when (val value = changed.value) {
                 null -> unreadable(kind, changed)
                 is StateValue.Table -> tableRead(value)
@@ -254,7 +270,7 @@
                     context.queues.retry(value.upstream.service)
                 }
                 is StateValue.Evacuation -> evacuation(FailureDomain(changed.name), true)
-                is StateValue.Instance -> peers.listed(value.record.name, ServerAddress(value.record.host, value.record.peerPort))
+                is StateValue.Instance -> peers.listed(value.record)
                 is StateValue.Order, is StateValue.Lease, is StateValue.Usage, is StateValue.Quota -> Unit
             }
         }
@@ -263,6 +279,7 @@
             kind: StateKind,
             name: String,
         ) {
+            relayLogs.getValue(kind).deleted(name)
             when (kind) {
                 StateKind.UPSTREAMS -> upstreamDeleted(UpstreamId(name))
                 StateKind.EVACUATIONS -> evacuation(FailureDomain(name), false)
@@ -281,8 +298,15 @@
             log.write(GatewayEvent.STORE_REGAINED, "kind" to kind)
         }
 
-        override fun synchronised(sentNanos: Long) {
-            if (followed == StateKind.SERVING_TABLE) belief.confirmed(sentNanos)
+        override fun synchronised(
+            asOfNanos: Long,
+            revision: Long,
+        ) {
+            if (followed == StateKind.SERVING_TABLE) {
+                belief.confirmed(asOfNanos)
+                admission.tableKnown()
+            }
+            if (relayLogs.getValue(followed).synchronised(revision, asOfNanos)) relay.changed(followed)
         }
 
         override fun failed(
@@ -334,10 +358,13 @@
     }
 
     private companion object {
+        /** Kinds of objects that every instance follows. */
+        val FOLLOWED = listOf(StateKind.SERVING_TABLE, StateKind.UPSTREAMS, StateKind.EVACUATIONS, StateKind.INSTANCES)
         const val QUOTAS_NAME = "site"
         const val TICK_MILLIS = 200L
         const val STOP_STEP_MILLIS = 100L
         const val REGISTER_AGAIN_MILLIS = 500L
+        const val RESTORE_AGAIN_MILLIS = 500L
         const val DEFAULT_WINDOW_MILLIS = 60_000L
 
         /** Lets the last datagrams and log lines leave. */
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -17,6 +17,8 @@
     STORE_LOST("BL-2103", Level.WARN, "store does not answer"),
     STORE_REGAINED("BL-2104", Level.INFO, "store answers again"),
     HISTORY_GONE("BL-2105", Level.INFO, "store forgot the history; everything is listed again"),
+    RELAY_CHANGED("BL-2106", Level.INFO, "another instance is followed for the shared state"),
+    RELAY_FAILED("BL-2107", Level.WARN, "followed instance gave no usable answer"),
     UPSTREAM_REGISTERED("BL-2201", Level.INFO, "upstream registered or changed"),
     UPSTREAM_GONE("BL-2202", Level.INFO, "upstream is gone"),
     UPSTREAM_LAPSED("BL-2203", Level.INFO, "upstream's registration lapsed while the store was away"),
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewaySettings.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewaySettings.kt
@@ -13,7 +13,8 @@
  * @property domains failure domains of the site
  * @property callers address at which callers are served
  * @property readiness address at which readiness and metrics are told
- * @property peers address for datagrams of other instances
+ * @property peers address for datagrams and questions of other instances
+ * @property linkMegabits bandwidth of this machine's network link in megabits per second; 0 when unknown
  * @property belief ages of the serving table beyond which work is refused
  * @property repeatRatio repeats allowed for each request of a service, over all instances
  * @property repeatSlack repeats allowed besides in [repeatWindow], over all instances
@@ -29,6 +30,7 @@
     val callers: ServerAddress,
     val readiness: ServerAddress,
     val peers: ServerAddress,
+    val linkMegabits: Double,
     val belief: BeliefLimits,
     val quota: QuotaBounds,
     val repeatRatio: Double,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/OrderRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/OrderRunner.kt
@@ -44,7 +44,7 @@
             val limits = service.scaling ?: continue
             val plan = plans.getOrPut(service.name) { CapacityPlan(service.name) }
             plan
-                .orders(limits, domains, board.upstreams.toList(), demand.perSecond(service.name, now), now)
+                .orders(limits, domains, board.upstreams.toList(), demand.perSecond(service.name, now), now, board.evacuated)
                 .filter { isDue(it, now) }
                 .forEach { send(it, fencing, now) }
         }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.gateway.process
 
 import io.buckthornlever.api.process.Clock
+import io.buckthornlever.api.serving.InstanceRecord
 import io.buckthornlever.gateway.connection.ServerAddress
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBufUtil
@@ -17,6 +18,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import java.net.InetSocketAddress
+import java.time.Duration
 import java.util.concurrent.TimeUnit
 
 /**
@@ -32,9 +34,13 @@
     private val heard: (PeerState) -> Unit,
 ) {
     private val addresses = HashMap<String, InetSocketAddress>()
+    private val records = HashMap<String, InstanceRecord>()
     private val lastHeard = HashMap<String, Long>()
     private var channel: Channel? = null
 
+    /** Interval between two messages to the same instance. */
+    val interval: Duration get() = Duration.ofMillis(maxOf(MIN_INTERVAL_MILLIS, addresses.size * MILLIS_PER_INSTANCE))
+
     /** Names of the other instances that exist: heard of lately, or listed not long ago. */
     fun live(): Set<String> {
         val now = clock.monotonicNanos()
@@ -53,17 +59,19 @@
         loop.schedule({ tell() }, MIN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    fun listed(
-        name: String,
-        address: ServerAddress,
-    ) {
-        if (name == self) return
-        addresses[name] = InetSocketAddress(address.host, address.port)
-        lastHeard[name] = clock.monotonicNanos()
+    /** Records of the [live] instances. */
+    fun members(): Collection<InstanceRecord> = live().mapNotNull(records::get)
+
+    fun listed(record: InstanceRecord) {
+        if (record.name == self) return
+        records[record.name] = record
+        addresses[record.name] = InetSocketAddress(record.host, record.peerPort)
+        lastHeard[record.name] = clock.monotonicNanos()
     }
 
     fun unlisted(name: String) {
         addresses.remove(name)
+        records.remove(name)
         lastHeard.remove(name)
     }
 
@@ -78,8 +86,7 @@
 
     private fun tell() {
         tellNow()
-        val interval = maxOf(MIN_INTERVAL_MILLIS, addresses.size * MILLIS_PER_INSTANCE)
-        loop.schedule({ tell() }, interval, TimeUnit.MILLISECONDS)
+        loop.schedule({ tell() }, interval.toMillis(), TimeUnit.MILLISECONDS)
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -104,8 +111,8 @@
         /** Interval in which quotas over few instances stay exact enough. */
         const val MIN_INTERVAL_MILLIS = 250L
 
-        /** Keeps an instance at 50 datagrams a second with many instances. */
-        const val MILLIS_PER_INSTANCE = 20L
+        /** Keeps an instance at 100 datagrams a second with many instances. */
+        const val MILLIS_PER_INSTANCE = 10L
 
         /** Silence after which an instance counts as gone; longer than a restart takes. */
         const val GONE_NANOS = 15_000_000_000L
--- /dev/null
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayWaits.kt
@@ -0,0 +1,28 @@
+package io.buckthornlever.gateway.process
+
+import io.buckthornlever.api.serving.StateKind
+import java.time.Duration
+
+/**
+ * Times of relays and their followers. Together they bound how late a follower learns of a change when its relay stands still or
+ * is cut from the store: the longest age plus a tick of the gateway, which is below the two seconds in which an upstream that
+ * leaves must get no more requests.
+ */
+internal object RelayWaits {
+    /** Part of the usual wait that keeps the two kinds with tight bounds fresh. */
+    private val TIGHT: Duration = Duration.ofMillis(600)
+    private val LOOSE: Duration = Duration.ofSeconds(2)
+
+    /** Longest wait of a watch of the store by an instance that others may follow. */
+    fun relay(kind: StateKind): Duration = if (isTight(kind)) TIGHT else LOOSE
+
+    /** Longest wait of a question to a relay. */
+    fun follower(kind: StateKind): Duration = if (isTight(kind)) TIGHT else LOOSE
+
+    /** Age beyond which a relay does not vouch for what it knows: two watches and an answer time. */
+    fun maxAge(kind: StateKind): Duration = relay(kind).multipliedBy(2).plusMillis(ANSWER_MILLIS)
+
+    private fun isTight(kind: StateKind): Boolean = kind == StateKind.UPSTREAMS || kind == StateKind.SERVING_TABLE
+
+    private const val ANSWER_MILLIS = 150L
+}
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
@@ -57,8 +57,9 @@
             apply(item)
         }
         if (page.more && page.objects.isNotEmpty()) return list(page.objects.last().name)
-        for (name in known.keys.filter { it !in seen }) remove(name)
-        listener.synchronised(sent)
+        // What a relay listed may be older than what the store told directly.
+        for (name in known.filter { (name, revision) -> name !in seen && revision <= listRevision }.keys) remove(name)
+        listener.synchronised(page.asOfNanos ?: sent, listRevision)
         watch(listRevision)
     }
 
@@ -68,7 +69,7 @@
             result.onSuccess { changes ->
                 answered(sent)
                 changes.changes.forEach(::apply)
-                listener.synchronised(sent)
+                listener.synchronised(changes.asOfNanos ?: sent, changes.revision)
                 // Changes often come in series; the pause gathers them in one answer.
                 if (changes.changes.isEmpty()) {
                     watch(changes.revision)
@@ -84,11 +85,12 @@
     }
 
     private fun apply(change: StateChange) {
-        if (change.deleted) remove(change.changed.name) else apply(change.changed)
+        if (!change.deleted) return apply(change.changed)
+        if ((known[change.changed.name] ?: return) <= change.changed.revision) remove(change.changed.name)
     }
 
     private fun apply(item: StateObject) {
-        if (known[item.name] == item.revision) return
+        if ((known[item.name] ?: Long.MIN_VALUE) >= item.revision) return
         known[item.name] = item.revision
         listener.changed(kind, item)
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeedListener.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeedListener.kt
@@ -24,8 +24,11 @@
         sentNanos: Long,
     )
 
-    /** All changes up to an answer of the store to a call that was sent at [sentNanos] have been delivered. */
-    fun synchronised(sentNanos: Long)
+    /** All changes up to [revision] have been delivered; they are complete as of [asOfNanos]. */
+    fun synchronised(
+        asOfNanos: Long,
+        revision: Long,
+    )
 
     /** A call failed. */
     fun failed(
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
@@ -26,12 +26,27 @@
     /** True once the process ends too soon for new requests to be served whole. */
     var ending: Boolean = false
 
+    private val parked = ParkedRequests(context.loop) { request, reply -> serve(request, context.protocol.decode(request.head), reply) }
+
+    /** The first table is in force. */
+    fun tableKnown(): Unit = parked.releaseAll()
+
     override fun serve(
         request: CallerRequest,
         reply: CallerReply,
     ): CallerExchange {
         val head = context.protocol.decode(request.head)
         if (ending) return refuse(head, reply, "the process is about to end")
+        if (context.belief.table != null) return serve(request, head, reply)
+        val longest = head.timeLeft?.dividedBy(RequestLimits.PARK_DIVISOR) ?: RequestLimits.LONGEST_PARK
+        return parked.park(request, reply, minOf(longest, RequestLimits.LONGEST_PARK))
+    }
+
+    private fun serve(
+        request: CallerRequest,
+        head: CallerHead,
+        reply: CallerReply,
+    ): CallerExchange {
         val table = context.belief.table ?: return refuse(head, reply, "no table")
         val host = request.head.headers().get(HttpHeaderNames.HOST).orEmpty().substringBefore(':')
         val path = request.head.uri().substringBefore('?')
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestLimits.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestLimits.kt
@@ -7,6 +7,12 @@
     /** Share of the target latency for which a request waits for room at an upstream before it is refused. */
     const val WAIT_SHARE = 0.5
 
+    /** Longest time for which a request waits for the first serving table; a listing takes a few round trips. */
+    val LONGEST_PARK: Duration = Duration.ofMillis(400)
+
+    /** Part of a request's time for which it waits for the first serving table, as a divisor. */
+    const val PARK_DIVISOR = 4L
+
     /** Pause after which a refused caller finds room again in most cases: some requests have ended by then. */
     val RETRY_AFTER: Duration = Duration.ofMillis(300)
 
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/FeedWaitTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/FeedWaitTest.kt
@@ -62,6 +62,7 @@
             callers = loopback,
             readiness = loopback,
             peers = loopback,
+            linkMegabits = 0.0,
             belief = BeliefLimits.of(Duration.ofSeconds(2), Duration.ofSeconds(5)),
             quota = QuotaBounds(),
             repeatRatio = 0.2,
