Order on-demand upstreams for what is missing, and pass deletions of unknown objects on to followers

On-demand upstreams now cover what is missing, and one more loss down to 0.6 of the need; reclaimable ones are asked for all the time.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AccountQuotas.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AccountQuotas.kt
@@ -193,8 +193,8 @@
     }
 
     private companion object {
-        /** Part of the tolerated excess that is used; the rest covers usage that peers have not told yet. */
-        const val USED_TOLERANCE = 0.4
+        /** Part of the tolerated excess that is used; the rest covers single large requests that several instances admit at once. */
+        const val USED_TOLERANCE = 0.75
 
         const val MILLIS_PER_SECOND = 1_000.0
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
@@ -8,9 +8,10 @@
 /**
  * Decides how many upstreams of one service should run in each failure domain.
  *
- * Reclaimable upstreams carry the load, as many that those of one failure domain can be taken away at once. On-demand upstreams
- * make up for what a further such loss would leave short, so that they run only between a reclaim and the start of the
- * replacements elsewhere. Without reclaimable upstreams, on-demand ones carry all. Not thread-safe.
+ * Reclaimable upstreams carry the load, as many that those of one failure domain can be taken away at once. After a reclaim the
+ * platform may have no others anywhere for some time; on-demand upstreams then make up for what is missing, and for what one
+ * more such loss would leave short of the least that serves. Without reclaimable upstreams, on-demand ones carry all.
+ * Not thread-safe.
  */
 public class CapacityPlan(
     private val service: String,
@@ -20,7 +21,7 @@
     private var shrinkAfter = Long.MIN_VALUE
     private var onDemand = 0
     private var onDemandUntil = Long.MIN_VALUE
-    private val offered = HashSet<FailureDomain>()
+    private val settled = HashSet<FailureDomain>()
 
     /**
      * Wanted counts by failure domain and kind; empty while no upstream of the service is known.
@@ -67,40 +68,34 @@
         needed: Int,
         nanos: Long,
     ): List<UpstreamOrder> {
-        val sources = open.filterNot { fleet.getValue(it).isDry(it) }.ifEmpty { open }
-        val spare = maxOf(1, sources.size - 1)
-        val reclaimable = ceil(needed.toDouble() / spare).toInt().coerceIn(1, maxOf(1, limits.maximum))
+        val spread = maxOf(1, open.size - 1)
+        val reclaimable = ceil(needed.toDouble() / spread).toInt().coerceIn(1, maxOf(1, limits.maximum))
         val extra = onDemand(needed, open.map { fleet.getValue(it) }, nanos)
-        val dry = open.filter { it !in sources }
-        val shares = divide(extra, dry.ifEmpty { open }.sortedBy { limits.domainPrices[it] ?: 1.0 })
+        val shares = divide(extra, open.sortedBy { limits.domainPrices[it] ?: 1.0 })
         return fleet.flatMap { (domain, here) ->
             val wantedReclaimable = if (domain in open) reclaimable else here.reclaimable
             val floor = if (here.reclaimable == 0) limits.minimum else 0
+            if (here.warmReclaimable >= wantedReclaimable) settled.add(domain)
             // The first orders must not take away what serves before the reclaimable upstreams are warm.
-            val keep = if (here.warmReclaimable < wantedReclaimable && domain !in offered) here.onDemand else 0
-            if (here.warmReclaimable >= wantedReclaimable) offered.add(domain)
-            val wantedOnDemand = maxOf(shares[domain] ?: 0, floor, keep).coerceAtMost(limits.maximum)
-            // Both kinds together are limited; where reclaimable upstreams are to be had they come first.
-            val most = if (here.reclaimable == 0) limits.maximum - wantedOnDemand else limits.maximum
-            val reclaimableHere = minOf(wantedReclaimable, most)
+            val keep = if (domain in settled) 0 else here.onDemand
+            val wantedOnDemand = maxOf(shares[domain] ?: 0, floor, keep).coerceAtMost(limits.maximum - here.reclaimable)
             listOf(
-                order(domain, minOf(wantedOnDemand, limits.maximum - reclaimableHere), false),
-                order(domain, reclaimableHere, true),
+                order(domain, wantedOnDemand, false),
+                order(domain, minOf(wantedReclaimable, limits.maximum - wantedOnDemand), true),
             )
         }
     }
 
-    /** A domain that has had reclaimable upstreams and has none now offers none for some time. */
-    private fun Fleet.isDry(domain: FailureDomain): Boolean = domain in offered && reclaimable == 0
-
-    /** On-demand upstreams over all domains that cover the loss of the largest group of reclaimable ones. */
+    /** On-demand upstreams over all domains: for what is missing now, and for the loss of the largest group of reclaimable ones. */
     private fun onDemand(
         needed: Int,
         fleets: List<Fleet>,
         nanos: Long,
     ): Int {
-        val sure = fleets.sumOf { it.reclaimable } - fleets.maxOf { it.reclaimable }
-        val missing = maxOf(0, needed - sure)
+        val reclaimable = fleets.sumOf { it.reclaimable }
+        val sure = reclaimable - fleets.maxOf { it.reclaimable }
+        val least = ceil(needed * LEAST_PART).toInt()
+        val missing = maxOf(0, needed - reclaimable, least - sure)
         if (missing >= onDemand || nanos > onDemandUntil) {
             if (missing > 0) onDemandUntil = nanos + EXTRA_NANOS
             onDemand = missing
@@ -159,6 +154,9 @@
          */
         const val TOKENS_PER_UPSTREAM = 30_000.0
 
+        /** Part of the usual number of upstreams with which requests are still served, though later. */
+        const val LEAST_PART = 0.6
+
         /** Time for which on-demand upstreams stay; the platform has reclaimable upstreams again after about this time. */
         const val EXTRA_NANOS = 10_000_000_000L
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -275,11 +275,15 @@
             }
         }
 
+        override fun tombstone(
+            kind: StateKind,
+            name: String,
+        ) = relayLogs.getValue(kind).deleted(name)
+
         override fun deleted(
             kind: StateKind,
             name: String,
         ) {
-            relayLogs.getValue(kind).deleted(name)
             when (kind) {
                 StateKind.UPSTREAMS -> upstreamDeleted(UpstreamId(name))
                 StateKind.EVACUATIONS -> evacuation(FailureDomain(name), false)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
@@ -86,7 +86,8 @@
 
     private fun apply(change: StateChange) {
         if (!change.deleted) return apply(change.changed)
-        if ((known[change.changed.name] ?: return) <= change.changed.revision) remove(change.changed.name)
+        val name = change.changed.name
+        if ((known[name] ?: Long.MIN_VALUE) <= change.changed.revision) remove(name)
     }
 
     private fun apply(item: StateObject) {
@@ -96,6 +97,7 @@
     }
 
     private fun remove(name: String) {
+        listener.tombstone(kind, name)
         if (known.remove(name) != null) listener.deleted(kind, name)
     }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeedListener.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeedListener.kt
@@ -12,7 +12,13 @@
         changed: StateObject,
     )
 
-    /** The object [name] is gone. */
+    /** The store told that the object [name] is gone, whether it was known here or not. */
+    fun tombstone(
+        kind: StateKind,
+        name: String,
+    )
+
+    /** The object [name], which was known here, is gone. */
     fun deleted(
         kind: StateKind,
         name: String,
--- /dev/null
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelayTest.kt
@@ -0,0 +1,162 @@
+package io.buckthornlever.gateway.process
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.process.SystemClock
+import io.buckthornlever.api.serving.InstanceRecord
+import io.buckthornlever.api.serving.ServingTable
+import io.buckthornlever.api.serving.StateChanges
+import io.buckthornlever.api.serving.StateFailure
+import io.buckthornlever.api.serving.StateKind
+import io.buckthornlever.api.serving.StateObject
+import io.buckthornlever.api.serving.StatePage
+import io.buckthornlever.api.serving.StateStore
+import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.core.serving.RelayLog
+import io.buckthornlever.gateway.connection.CallerListener
+import io.buckthornlever.gateway.connection.ServerAddress
+import io.netty.channel.nio.NioEventLoopGroup
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** Guards against followers that miss changes, trust a relay without the store, or stay with one that does not answer. */
+class RelayTest {
+    private val group = NioEventLoopGroup(1)
+    private val loop = group.next()
+    private val log = RelayLog(Duration.ofSeconds(5))
+    private val relay = RelayService(loop, SystemClock, mapOf(StateKind.SERVING_TABLE to log)) { }
+    private val listener = CallerListener(loop, relay, SystemClock)
+    private val store = CountingStore()
+
+    @AfterTest
+    fun stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+    }
+
+    @Test
+    fun `a follower lists and watches without calls to the store`() {
+        known(7)
+        val follower = follower(listener.listen(LOOPBACK))
+        val page = checkNotNull(list(follower).get())
+        assertEquals(listOf("main"), page.objects.map { it.name })
+        assertEquals(TABLE, (page.objects.single().value as StateValue.Table).table)
+        val changes = CompletableFuture<Result<StateChanges, StateFailure>>()
+        loop.execute { follower.watch(StateKind.SERVING_TABLE, page.revision, Duration.ofSeconds(1)) { changes.complete(it) } }
+        known(9)
+        val told = checkNotNull(changes.get(5, TimeUnit.SECONDS).get())
+        assertEquals(9, told.revision)
+        assertEquals(0, store.calls.get())
+    }
+
+    @Test
+    fun `an answer never claims to be newer than the store's confirmation`() {
+        val confirmed = SystemClock.monotonicNanos()
+        onLoop {
+            log.changed(StateObject("main", 1, StateValue.Table(TABLE)))
+            log.synchronised(1, confirmed)
+        }
+        val page = checkNotNull(list(follower(listener.listen(LOOPBACK))).get())
+        assertTrue(checkNotNull(page.asOfNanos) <= confirmed)
+    }
+
+    @Test
+    fun `a relay that has lost the store is not believed`() {
+        onLoop { log.synchronised(1, SystemClock.monotonicNanos() - Duration.ofSeconds(6).toNanos()) }
+        assertNull(checkNotNull(list(follower(listener.listen(LOOPBACK))).get()).asOfNanos)
+        assertEquals(1, store.calls.get())
+    }
+
+    @Test
+    fun `without a listening relay the store is asked at once`() {
+        val port = listener.listen(LOOPBACK)
+        onLoop { listener.close() }
+        list(follower(port))
+        assertEquals(1, store.calls.get())
+    }
+
+    private fun known(revision: Long) =
+        onLoop {
+            log.changed(StateObject("main", revision, StateValue.Table(TABLE)))
+            if (log.synchronised(revision, SystemClock.monotonicNanos())) relay.changed(StateKind.SERVING_TABLE)
+        }
+
+    private fun follower(port: Int): RelayedStore {
+        val self = InstanceRecord("follower", "127.0.0.1", 1, FailureDomain("a"), 1.0)
+        val other = InstanceRecord("relay", "127.0.0.1", port, FailureDomain("a"), 2.0)
+        return RelayedStore(store, self, { listOf(other) }, loop, SystemClock, EventLog("follower"))
+    }
+
+    private fun list(follower: RelayedStore): Result<StatePage, StateFailure> {
+        val page = CompletableFuture<Result<StatePage, StateFailure>>()
+        loop.execute { follower.list(StateKind.SERVING_TABLE, null, false) { page.complete(it) } }
+        return page.get(5, TimeUnit.SECONDS)
+    }
+
+    private fun onLoop(action: () -> Unit) {
+        loop.submit(action).sync()
+    }
+
+    private class CountingStore : StateStore {
+        val calls = AtomicInteger()
+
+        override fun list(
+            kind: StateKind,
+            after: String?,
+            stale: Boolean,
+            done: (Result<StatePage, StateFailure>) -> Unit,
+        ) {
+            calls.incrementAndGet()
+            done(Ok(StatePage(emptyList(), false, 1)))
+        }
+
+        override fun watch(
+            kind: StateKind,
+            since: Long,
+            wait: Duration,
+            done: (Result<StateChanges, StateFailure>) -> Unit,
+        ) {
+            calls.incrementAndGet()
+        }
+
+        override fun read(
+            kind: StateKind,
+            name: String,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
+        override fun create(
+            kind: StateKind,
+            name: String,
+            value: StateValue,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
+        override fun replace(
+            kind: StateKind,
+            name: String,
+            expected: Long?,
+            value: StateValue,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
+        override fun delete(
+            kind: StateKind,
+            name: String,
+            done: (Result<Unit, StateFailure>) -> Unit,
+        ) = Unit
+    }
+
+    private companion object {
+        val LOOPBACK = ServerAddress("127.0.0.1", 0)
+        val TABLE = ServingTable(3, emptyList(), emptyList(), emptyList())
+    }
+}
--- /dev/null
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
@@ -0,0 +1,151 @@
+package io.buckthornlever.gateway.process
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.buckthornlever.api.process.SystemClock
+import io.buckthornlever.api.serving.StateChange
+import io.buckthornlever.api.serving.StateChanges
+import io.buckthornlever.api.serving.StateFailure
+import io.buckthornlever.api.serving.StateKind
+import io.buckthornlever.api.serving.StateObject
+import io.buckthornlever.api.serving.StatePage
+import io.buckthornlever.api.serving.StateStore
+import io.buckthornlever.api.serving.StateValue
+import io.netty.channel.nio.NioEventLoopGroup
+import java.time.Duration
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+/** Guards against deletions that are not passed on, and against older news that undo newer ones. */
+class StateFeedTest {
+    private val group = NioEventLoopGroup(1)
+    private val news = LinkedBlockingQueue<String>()
+
+    @AfterTest
+    fun stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+    }
+
+    @Test
+    fun `the end of an object that was never known is passed on to followers`() {
+        follow(StateChange(StateObject("x", 5, null), true))
+        assertEquals("synchronised 2", next())
+        assertEquals("tombstone x", next())
+        assertEquals("synchronised 9", next())
+    }
+
+    @Test
+    fun `an older version of an object does not replace a newer one`() {
+        follow(StateChange(StateObject("a", 1, null), false), StateChange(StateObject("a", 1, null), true))
+        assertEquals("synchronised 2", next())
+        assertEquals("synchronised 9", next())
+        assertNull(news.poll(100, TimeUnit.MILLISECONDS))
+    }
+
+    private fun follow(vararg changes: StateChange) {
+        val store = OneAnswerStore(changes.toList())
+        val loop = group.next()
+        loop.execute { StateFeed(StateKind.UPSTREAMS, Duration.ofSeconds(1), store, loop, SystemClock, Recorder()).start() }
+        assertEquals("changed a", next())
+    }
+
+    private fun next(): String? = news.poll(5, TimeUnit.SECONDS)
+
+    private inner class Recorder : StateFeedListener {
+        override fun changed(
+            kind: StateKind,
+            changed: StateObject,
+        ) {
+            news.add("changed ${changed.name}")
+        }
+
+        override fun tombstone(
+            kind: StateKind,
+            name: String,
+        ) {
+            news.add("tombstone $name")
+        }
+
+        override fun deleted(
+            kind: StateKind,
+            name: String,
+        ) {
+            news.add("deleted $name")
+        }
+
+        override fun answered(
+            kind: StateKind,
+            sentNanos: Long,
+        ) = Unit
+
+        override fun synchronised(
+            asOfNanos: Long,
+            revision: Long,
+        ) {
+            news.add("synchronised $revision")
+        }
+
+        override fun failed(
+            kind: StateKind,
+            failure: StateFailure,
+        ) = Unit
+
+        override fun historyGone(kind: StateKind) = Unit
+    }
+
+    /** Lists object `a` at revision 2 of the store, and answers one watch. */
+    private class OneAnswerStore(
+        private val changes: List<StateChange>,
+    ) : StateStore {
+        private var answered = false
+
+        override fun list(
+            kind: StateKind,
+            after: String?,
+            stale: Boolean,
+            done: (Result<StatePage, StateFailure>) -> Unit,
+        ) = done(Ok(StatePage(listOf(StateObject("a", 2, null)), false, 2)))
+
+        override fun watch(
+            kind: StateKind,
+            since: Long,
+            wait: Duration,
+            done: (Result<StateChanges, StateFailure>) -> Unit,
+        ) {
+            if (answered) return
+            answered = true
+            done(Ok(StateChanges(changes, 9)))
+        }
+
+        override fun read(
+            kind: StateKind,
+            name: String,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
+        override fun create(
+            kind: StateKind,
+            name: String,
+            value: StateValue,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
+        override fun replace(
+            kind: StateKind,
+            name: String,
+            expected: Long?,
+            value: StateValue,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
+        override fun delete(
+            kind: StateKind,
+            name: String,
+            done: (Result<Unit, StateFailure>) -> Unit,
+        ) = Unit
+    }
+}
