Order on-demand upstreams only while reclaimable ones are refused

The orders' refusals now tell the plan when there are none to be had. The plan also waits 2.5 s for upstreams to register, since it saw two of six after 1.5 s.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
@@ -21,8 +21,14 @@
     private var shrinkAfter = Long.MIN_VALUE
     private var onDemand = 0
     private var onDemandUntil = Long.MIN_VALUE
+    private var dryUntil = Long.MIN_VALUE
     private val settled = HashSet<FailureDomain>()
 
+    /** The platform had no reclaimable upstreams to give. */
+    public fun reclaimableRefused(nanos: Long) {
+        dryUntil = nanos + DRY_NANOS
+    }
+
     /**
      * Wanted counts by failure domain and kind; empty while no upstream of the service is known.
      *
@@ -95,7 +101,8 @@
         val reclaimable = fleets.sumOf { it.reclaimable }
         val sure = reclaimable - fleets.maxOf { it.reclaimable }
         val least = ceil(needed * LEAST_PART).toInt()
-        val missing = maxOf(0, needed - reclaimable, least - sure)
+        // Reclaimable upstreams that can be had start as fast as on-demand ones.
+        val missing = if (nanos < dryUntil) maxOf(0, needed - reclaimable, least - sure) else 0
         if (missing >= onDemand || nanos > onDemandUntil) {
             if (missing > 0) onDemandUntil = nanos + EXTRA_NANOS
             onDemand = missing
@@ -157,11 +164,14 @@
         /** Part of the usual number of upstreams with which requests are still served, though later. */
         const val LEAST_PART = 0.6
 
+        /** Time for which a refusal of reclaimable upstreams is believed; orders are repeated more often than that. */
+        const val DRY_NANOS = 5_000_000_000L
+
         /** Time for which on-demand upstreams stay; the platform has reclaimable upstreams again after about this time. */
         const val EXTRA_NANOS = 10_000_000_000L
 
         /** Time after the first upstream was seen in which the others register. */
-        const val SETTLE_NANOS = 1_500_000_000L
+        const val SETTLE_NANOS = 2_500_000_000L
 
         /** Time for which less demand has to last before upstreams are given up; a start and a cold phase cost several seconds. */
         const val HOLD_NANOS = 20_000_000_000L
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
@@ -39,7 +39,9 @@
         register("spot", 3, reclaimable = true)
         assertEquals(0, orders(120_000, SETTLED + KEPT).filter { !it.reclaimable }.sumOf { it.count })
         board.upstreams.filter { it.upstream.domain == domains.first() }.map { it.upstream.id }.forEach(board::unregistered)
-        val after = orders(240_000, SETTLED + KEPT + 1)
+        assertEquals(0, orders(240_000, SETTLED + KEPT + 1).filter { !it.reclaimable }.sumOf { it.count } - limits.minimum)
+        plan.reclaimableRefused(SETTLED + KEPT + 1)
+        val after = orders(240_000, SETTLED + KEPT + 2)
         assertTrue(after.filter { !it.reclaimable }.sumOf { it.count } >= 2, "$after")
         assertTrue(after.filter { it.reclaimable }.all { it.count >= 3 }, "$after")
     }
@@ -49,7 +51,8 @@
         register("spot", 3, reclaimable = true)
         orders(180_000, SETTLED + KEPT)
         board.upstreams.filter { it.upstream.domain == domains.first() }.map { it.upstream.id }.forEach(board::unregistered)
-        orders(180_000, SETTLED + KEPT + 1)
+        plan.reclaimableRefused(SETTLED + KEPT + 1)
+        assertTrue(orders(180_000, SETTLED + KEPT + 2).filter { !it.reclaimable }.sumOf { it.count } > 1)
         register("od", 1, reclaimable = false)
         register("spot", 3, reclaimable = true)
         assertEquals(0, orders(180_000, SETTLED + KEPT * 2).filter { !it.reclaimable }.sumOf { it.count })
@@ -99,7 +102,7 @@
     }
 
     private companion object {
-        val SETTLED: Long = Duration.ofSeconds(2).toNanos()
+        val SETTLED: Long = Duration.ofSeconds(3).toNanos()
         val KEPT: Long = Duration.ofSeconds(60).toNanos()
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/OrderRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/OrderRunner.kt
@@ -90,8 +90,9 @@
                 "fencing" to fencing,
                 "outcome" to outcome,
             )
+            if (outcome != DutyOutcome.CONFLICT) return@orderUpstreams
             // A conflict over reclaimable upstreams may also mean that there are none at the moment.
-            if (outcome == DutyOutcome.CONFLICT && !order.reclaimable) onFenced(fencing)
+            if (order.reclaimable) plans[order.service]?.reclaimableRefused(clock.monotonicNanos()) else onFenced(fencing)
         }
     }
 
