--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
@@ -81,7 +81,8 @@
         return fleet.flatMap { (domain, here) ->
             val wantedReclaimable = if (domain in open) reclaimable else here.reclaimable
             val floor = if (here.reclaimable == 0) limits.minimum else 0
-            if (here.warmReclaimable >= wantedReclaimable) settled.add(domain)
+            // Beside the on-demand upstreams of the start the limits may leave room for fewer.
+            if (here.warmReclaimable >= minOf(wantedReclaimable, limits.maximum - here.onDemand)) settled.add(domain)
             // The first orders must not take away what serves before the reclaimable upstreams are warm.
             val keep = if (domain in settled) 0 else here.onDemand
             val wantedOnDemand = maxOf(shares[domain] ?: 0, floor, keep).coerceAtMost(limits.maximum - here.reclaimable)
@@ -167,8 +168,8 @@
         /** Time for which a refusal of reclaimable upstreams is believed; orders are repeated more often than that. */
         const val DRY_NANOS = 5_000_000_000L
 
-        /** Time for which on-demand upstreams stay; the platform has reclaimable upstreams again after about this time. */
-        const val EXTRA_NANOS = 10_000_000_000L
+        /** Time for which on-demand upstreams stay once nothing is missing: a start and the cold phase of a reclaimable one. */
+        const val EXTRA_NANOS = 7_000_000_000L
 
         /** Time after the first upstream was seen in which the others register. */
         const val SETTLE_NANOS = 2_500_000_000L
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
@@ -27,6 +27,19 @@
         assertEquals(0, orders(0, SETTLED + KEPT).filter { !it.reclaimable }.sumOf { it.count })
     }
 
+    @Test
+    fun `on-demand upstreams go although the limits leave little room beside them`() {
+        val narrow = limits.copy(maximum = 4)
+        register("od", 2, reclaimable = false)
+        plan.orders(narrow, domains, board.upstreams.toList(), 0.0, 0)
+        val first = plan.orders(narrow, domains, board.upstreams.toList(), 0.0, SETTLED)
+        assertEquals(listOf(2, 2, 2), first.filter { it.reclaimable }.map { it.count })
+        register("spot", 2, reclaimable = true)
+        val next = plan.orders(narrow, domains, board.upstreams.toList(), 0.0, SETTLED + 1)
+        assertEquals(0, next.filter { !it.reclaimable }.sumOf { it.count })
+        assertEquals(listOf(3, 3, 3), next.filter { it.reclaimable }.map { it.count })
+    }
+
     @Test
     fun `what the loss of one domain leaves is enough for the demand`() {
         register("od", 2, reclaimable = false)
