--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
@@ -10,8 +10,8 @@
  *
  * Reclaimable upstreams carry the load, as many that those of one failure domain can be taken away at once. After a reclaim the
  * platform may have no others anywhere for some time; on-demand upstreams then make up for what is missing, and for what one
- * more such loss would leave short of the least that serves. Without reclaimable upstreams, on-demand ones carry all.
- * Not thread-safe.
+ * more such loss would leave short of the least that serves. Some on-demand upstreams always run, since all reclaimable ones may
+ * go while orders cannot be given. Without reclaimable upstreams, on-demand ones carry all. Not thread-safe.
  */
 public class CapacityPlan(
     private val service: String,
@@ -75,9 +75,10 @@
         nanos: Long,
     ): List<UpstreamOrder> {
         val spread = maxOf(1, open.size - 1)
-        val reclaimable = ceil(needed.toDouble() / spread).toInt().coerceIn(1, maxOf(1, limits.maximum))
+        val always = ceil(needed * ON_DEMAND_PART).toInt()
+        val reclaimable = ceil((needed - always).toDouble() / spread).toInt().coerceIn(1, maxOf(1, limits.maximum))
         val extra = onDemand(needed, open.map { fleet.getValue(it) }, nanos)
-        val shares = divide(extra, open.sortedBy { limits.domainPrices[it] ?: 1.0 })
+        val shares = divide(maxOf(always, extra), open.sortedBy { limits.domainPrices[it] ?: 1.0 })
         return fleet.flatMap { (domain, here) ->
             val wantedReclaimable = if (domain in open) reclaimable else here.reclaimable
             val floor = if (here.reclaimable == 0) limits.minimum else 0
@@ -162,6 +163,9 @@
          */
         const val TOKENS_PER_UPSTREAM = 30_000.0
 
+        /** Part of the needed upstreams that is never reclaimable: with it most requests are served, though later. */
+        const val ON_DEMAND_PART = 1.0 / 3
+
         /** Part of the usual number of upstreams with which requests are still served, though later. */
         const val LEAST_PART = 0.6
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayService.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayService.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
+import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
 /**
@@ -44,7 +45,7 @@
         val kind = StateKind.entries.firstOrNull { RelayPaths.of(it) == uri.path() && it in logs }
         if (kind == null) {
             reply.respond(HttpResponseStatus.NOT_FOUND, DefaultHttpHeaders(), EMPTY)
-            return Question(StateKind.INSTANCES, null, 0, reply)
+            return Unasked
         }
         val since = uri.number(RelayPaths.SINCE)
         val wait = (uri.number(RelayPaths.WAIT_MILLIS) ?: 0).coerceIn(0, MAX_WAIT_MILLIS)
@@ -75,7 +76,7 @@
         private val arrivedNanos: Long,
         private val reply: CallerReply,
     ) : CallerExchange {
-        var timer: java.util.concurrent.Future<*>? = null
+        var timer: Future<*>? = null
 
         /** Answers when there is something to tell or [atOnce] is set; returns true when the question is settled. */
         fun answer(atOnce: Boolean): Boolean {
@@ -104,6 +105,13 @@
         }
     }
 
+    /** A request for something that no relay tells, which has been answered. */
+    private object Unasked : CallerExchange {
+        override fun callerGone() = Unit
+
+        override fun callerWritable(writable: Boolean) = Unit
+    }
+
     private fun QueryStringDecoder.number(name: String): Long? = parameters()[name]?.firstOrNull()?.toLongOrNull()
 
     private companion object {
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
@@ -34,7 +34,7 @@
 @OptIn(ExperimentalSerializationApi::class)
 internal class RelayedStore(
     private val direct: StateStore,
-    private val self: InstanceRecord,
+    self: InstanceRecord,
     private val members: () -> Collection<InstanceRecord>,
     private val loop: EventLoop,
     private val clock: Clock,
