--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AccountQuotas.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AccountQuotas.kt
@@ -49,13 +49,14 @@
         return true
     }
 
-    /** Takes back the charge of a request that did not run. */
+    /** Takes back the charge of a request that did not run and was admitted at [chargedNanos]. */
     public fun refund(
         account: AccountId,
         cost: Double,
+        chargedNanos: Long,
         nanos: Long,
     ) {
-        own[account]?.add(-cost, nanos)
+        own[account]?.takeBack(cost, chargedNanos, nanos)
     }
 
     /** Units that this instance has charged since its start, by client account. */
@@ -176,6 +177,15 @@
             recent.add(amount, nanos)
         }
 
+        fun takeBack(
+            amount: Double,
+            addedNanos: Long,
+            nanos: Long,
+        ) {
+            total -= amount
+            recent.takeBack(amount, addedNanos, nanos)
+        }
+
         fun advanceTo(
             total: Double,
             nanos: Long,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SlidingSum.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SlidingSum.kt
@@ -11,7 +11,7 @@
     private val amounts = DoubleArray(slots + 1)
     private var newest = Long.MIN_VALUE
 
-    /** Adds [amount] at [nanos]; negative amounts take back an earlier one. */
+    /** Adds [amount] at [nanos]. */
     public fun add(
         amount: Double,
         nanos: Long,
@@ -20,6 +20,17 @@
         amounts[index(newest)] += amount
     }
 
+    /** Takes back an [amount] that was added at [addedNanos]; it leaves the slot that it is in, since it would count twice in another. */
+    public fun takeBack(
+        amount: Double,
+        addedNanos: Long,
+        nanos: Long,
+    ) {
+        advance(nanos)
+        val slot = Math.floorDiv(addedNanos, width)
+        if (newest - slot < amounts.size) amounts[index(slot)] -= amount
+    }
+
     /** Sum of the window that ends at [nanos]. */
     public fun sum(nanos: Long): Double {
         advance(nanos)
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/AccountQuotasTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/AccountQuotasTest.kt
@@ -77,7 +77,7 @@
     fun `a refund frees the quota of a request that did not run`() {
         val quotas = AccountQuotas(bounds)
         val used = spend(quotas, 0, 10_000)
-        quotas.refund(account.id, 10.0, 0)
+        quotas.refund(account.id, 10.0, 0, 0)
         assertEquals(used - 10, quotas.totals().getValue(account.id))
         assertTrue(quotas.admit(account, 10.0, 0))
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -87,8 +87,8 @@
     private var stoppingSince: Long? = null
     private var quotasSavedAt = Long.MIN_VALUE / 2
 
-    /** Starts to serve; throws an exception when an address cannot be used. */
-    public fun start() {
+    /** Starts to serve and returns the port for callers; throws an exception when an address cannot be used. */
+    public fun start(): Int {
         val port = callers.listen(settings.callers)
         probes.listen(settings.readiness)
         followers.listen(settings.peers)
@@ -105,6 +105,7 @@
         }
         metrics.gauge("buckthornlever_requests_waiting", "Requests that wait for room") { context.queues.waiting.toDouble() }
         log.write(GatewayEvent.STARTED, "callers" to settings.callers.host + ":" + port, "domain" to settings.domain)
+        return port
     }
 
     /** Stops to ask for connections, serves what callers have sent, and ends the process when nothing is left or the grace is over. */
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingRun.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingRun.kt
@@ -50,6 +50,7 @@
     private val tried = HashSet<UpstreamId>()
     private val splitter = EventSplitter()
     private val timers = ArrayList<ScheduledFuture<*>>()
+    private val chargedNanos = context.clock.monotonicNanos()
     private var attempt: Attempt? = null
     private var waitUntil = 0L
     private var isWaiting = false
@@ -299,7 +300,7 @@
         reason: String,
         retryAfter: Duration,
     ) {
-        if (account != null) context.quotas.refund(account.id, costOf(account, head), now())
+        if (account != null) context.quotas.refund(account.id, costOf(account, head), chargedNanos, now())
         close("refused", reason)
         reply.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, OwnAnswers.retryAfter(retryAfter), EMPTY_BODY)
     }
