--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
@@ -66,7 +66,7 @@
     }
 
     /** Records of the [live] instances. */
-    fun members(): Collection<InstanceRecord> = live().mapNotNull(records::get)
+    fun members(): Set<InstanceRecord> = live().mapNotNullTo(HashSet(), records::get)
 
     /** Record of the listed instance [name]. */
     fun record(name: String): InstanceRecord? = records[name]
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDivisions.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDivisions.kt
@@ -30,7 +30,8 @@
     private val log: EventLog,
 ) {
     private val plan = QuotaPlan(settings.quota)
-    private val startNanos = clock.monotonicNanos()
+    private var seen: Set<InstanceRecord> = emptySet()
+    private var seenAt = clock.monotonicNanos()
     private var revision = 0L
     private var known = false
     private var writing = false
@@ -56,12 +57,16 @@
     /** Divides what is not divided yet among [others] and this instance; called by the lease holder. */
     fun plan(
         accounts: List<ServedAccount>,
-        others: Collection<InstanceRecord>,
+        others: Set<InstanceRecord>,
     ) {
         val now = clock.monotonicNanos()
         if (!known || now - plannedAt < PLAN_INTERVAL.toNanos()) return
+        if (others != seen) {
+            seen = others.toSet()
+            seenAt = now
+        }
         // At the first start the others still register.
-        if (settings.firstStart && revision == 0L && now - startNanos < FIRST_PLAN.toNanos()) return
+        if (settings.firstStart && revision == 0L && now - seenAt < REGISTRATION.toNanos()) return
         plannedAt = now
         plan.next(held.holdings, accounts, others + record)?.let(::write)
     }
@@ -95,7 +100,7 @@
         /** Short beside the time for which an account waits for its first division. */
         val PLAN_INTERVAL: Duration = Duration.ofMillis(500)
 
-        /** Starts of a site's instances lie closer together. */
-        val FIRST_PLAN: Duration = Duration.ofSeconds(4)
+        /** Time without a new instance after which all that start together have registered. */
+        val REGISTRATION: Duration = Duration.ofSeconds(1)
     }
 }
