--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/EventSplitter.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/EventSplitter.kt
@@ -8,6 +8,9 @@
     /** True while part of an event has arrived. */
     public val isInsideEvent: Boolean get() = length > 0
 
+    /** Bytes of the unfinished event. */
+    public val pendingBytes: Int get() = length
+
     /** Adds [bytes] and returns the events that are complete now. */
     public fun add(bytes: ByteArray): List<StreamEvent> {
         if (length + bytes.size > buffer.size) buffer = buffer.copyOf(maxOf(buffer.size * 2, length + bytes.size))
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
@@ -124,11 +124,12 @@
         reading = null
         waiting.addLast(CallerRequest(request, body.toByteArray(), readingSince))
         if (waiting.size > MAX_PIPELINED) return refuse(HttpResponseStatus.TOO_MANY_REQUESTS)
-        serveNext()
+        // By then the connection has been read to its end, and a caller who left behind the request has been noticed.
+        channel.eventLoop().execute { serveNext() }
     }
 
     private fun serveNext() {
-        if (current != null || closing) return
+        if (current != null || closing || !channel.isActive) return
         val request = waiting.removeFirstOrNull() ?: return
         val reply = Reply(request)
         current = reply
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerListener.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerListener.kt
@@ -3,12 +3,14 @@
 import io.buckthornlever.api.process.Clock
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.UnpooledByteBufAllocator
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -38,6 +40,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator(false))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, READ_TO_THE_END)
                 .childHandler(Initializer())
                 .bind(address.host, address.port)
                 .sync()
@@ -78,5 +81,12 @@
     private companion object {
         /** Connections that may wait to be accepted, for callers that come back all at once. */
         const val BACKLOG = 1_024
+
+        /** Reads of one connection before others have their turn. */
+        const val READS_AT_ONCE = 16
+
+        /** Reads on until nothing is left, so that the end of a connection is seen together with what was sent before it. */
+        val READ_TO_THE_END: RecvByteBufAllocator =
+            AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE)
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
@@ -26,7 +26,14 @@
     private var listener: ExchangeListener? = null
     private var written = false
     private var skipping = false
+    private var skipped = 0
+    private var interimHeads = 0
     private var keepsOpen = false
+    private var isUsed = false
+
+    /** True when an earlier request was sent on this connection, so that a late answer to it may still come. */
+    public var isReused: Boolean = false
+        private set
 
     /** Time after which the server may close the connection when it is idle; null when it has not told. */
     public var idleLimit: Duration? = null
@@ -51,9 +58,13 @@
         request: FullHttpRequest,
         listener: ExchangeListener,
     ) {
+        isReused = isUsed
+        isUsed = true
         this.listener = listener
         written = false
         keepsOpen = false
+        skipped = 0
+        interimHeads = 0
         channel.writeAndFlush(request).addListener { result ->
             if (result.isSuccess) written = true else fail("request could not be written: ${result.cause()?.message}")
         }
@@ -99,6 +110,7 @@
     private fun head(response: HttpResponse) {
         if (response.status().code() < FIRST_FINAL_STATUS) {
             skipping = true
+            if (++interimHeads > MAX_INTERIM_HEADS) fail("interim answers without end")
             return
         }
         keepsOpen =
@@ -112,7 +124,12 @@
     }
 
     private fun content(content: HttpContent) {
-        if (!skipping && content.content().isReadable) listener?.data(ByteBufUtil.getBytes(content.content()))
+        if (skipping) {
+            skipped += content.content().readableBytes()
+            if (skipped > MAX_SKIPPED_BYTES) return fail("answers to other requests without end")
+        } else if (content.content().isReadable) {
+            listener?.data(ByteBufUtil.getBytes(content.content()))
+        }
         if (content !is LastHttpContent) return
         if (skipping) {
             skipping = false
@@ -141,5 +158,11 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
+
+        /** Interim heads before an answer; servers send one or two. */
+        const val MAX_INTERIM_HEADS = 8
+
+        /** Late answers to earlier requests that are read over; a new connection costs less than reading more. */
+        const val MAX_SKIPPED_BYTES = 256 * 1_024
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -73,7 +73,7 @@
         )
     private val context =
         ServingContext(loop, clock, protocol, belief, board, quotas, repeats, crashes, usage, demand, pool, log, metrics)
-    private val admission = RequestAdmission(context, ::checkPause)
+    private val admission = RequestAdmission(context, { divisions.known }, ::checkPause)
     private val callers = CallerListener(loop, admission, clock)
     private val probes = CallerListener(loop, ProbeService(::isReady, metrics), clock)
     private val record =
@@ -102,6 +102,7 @@
         loop.execute {
             peers.start(settings.peers)
             feeds().forEach { (kind, wait) -> StateFeed(kind, wait, store, loop, clock, Feed(kind)).start() }
+            divisions.start { release() }
             register()
             tick()
         }
@@ -138,6 +139,11 @@
         loop.schedule({ stopStep() }, STOP_STEP_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    /** Serves the requests that waited for what is known now. */
+    private fun release() {
+        if (belief.table != null && divisions.known) admission.release()
+    }
+
     private fun isReady(): Boolean {
         val ready = stoppingSince == null && belief.isReady(clock.monotonicNanos())
         if (ready != wasReady) {
@@ -320,9 +326,12 @@
         ) {
             if (followed == StateKind.SERVING_TABLE) {
                 belief.confirmed(asOfNanos)
-                admission.tableKnown()
+                release()
+            }
+            if (followed == StateKind.QUOTA_HOLDINGS) {
+                divisions.confirmed(asOfNanos)
+                release()
             }
-            if (followed == StateKind.QUOTA_HOLDINGS) divisions.confirmed(asOfNanos)
             if (relayLogs.getValue(followed).synchronised(revision, asOfNanos)) relay.changed(followed)
         }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDivisions.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDivisions.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.gateway.process
 
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.buckthornlever.api.process.AccountId
@@ -33,10 +34,24 @@
     private var seen: Set<InstanceRecord> = emptySet()
     private var seenAt = clock.monotonicNanos()
     private var revision = 0L
-    private var known = false
+    /** True once it is known how quotas are divided, or that they are not yet. */
+    var known = false
+        private set
+
     private var writing = false
     private var plannedAt = Long.MIN_VALUE / 2
 
+    /** Reads the division from the store itself, since another instance's word may be older than this process. */
+    fun start(whenKnown: () -> Unit) {
+        val sent = clock.monotonicNanos()
+        store.read(StateKind.QUOTA_HOLDINGS, NAME) { result ->
+            result.onSuccess { found -> (found.value as? StateValue.Quota)?.let { read(found.revision, it.holdings) } }
+            // After another failure the feed tells the division.
+            if (result.isOk || result.getError() == StateFailure.NotFound) confirmed(sent)
+            whenKnown()
+        }
+    }
+
     /** The store holds [holdings] at [revision]. */
     fun read(
         revision: Long,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -31,11 +31,16 @@
     private var response: HttpResponse? = null
     private var head: UpstreamHead? = null
     private var relaying = false
+    private var large = false
+    private var uncounted = 0
     private var over = false
     private var promptRead = false
     private val body = ByteArrayOutputStream()
 
-    /** Monotonic time of the last sign of the upstream. */
+    /**
+     * Monotonic time of the last progress: an answer's head, a whole event of a stream, or a good part of another body. Single
+     * bytes are none, since an upstream that is stuck may still send one now and then.
+     */
     var progressNanos: Long = context.clock.monotonicNanos()
         private set
 
@@ -79,6 +84,11 @@
         if (over) return HeadVerdict.REJECT
         val head = context.protocol.answer(response)
         if (head.requestId != null && head.requestId != requestId) return HeadVerdict.SKIP
+        if (head.requestId == null && requestId != null && connection?.isReused == true) {
+            // It may be a late copy of an answer to an earlier request, and proves nothing about this one.
+            end(AttemptEnd.Broken("answer without a request id on a used connection"), true)
+            return HeadVerdict.REJECT
+        }
         progressNanos = context.clock.monotonicNanos()
         this.response = response
         this.head = head
@@ -101,8 +111,7 @@
 
     override fun data(bytes: ByteArray) {
         if (over) return
-        progressNanos = context.clock.monotonicNanos()
-        if (!relaying) return body.write(bytes)
+        if (!relaying) return plainData(bytes)
         if (!promptRead) {
             tokensRead()
             owner.began(this)
@@ -110,6 +119,35 @@
         owner.streamData(this, bytes)
     }
 
+    /** A whole event has been passed on. */
+    fun progressed() {
+        progressNanos = context.clock.monotonicNanos()
+    }
+
+    /** Ends the attempt because the upstream sends bytes that are no answer. */
+    fun malformed(reason: String) {
+        if (over) return
+        connection?.close()
+        end(AttemptEnd.Broken(reason), true)
+    }
+
+    private fun plainData(bytes: ByteArray) {
+        uncounted += bytes.size
+        if (uncounted >= PROGRESS_BYTES) {
+            uncounted = 0
+            progressed()
+        }
+        if (large) return owner.largeData(this, bytes)
+        body.write(bytes)
+        if (body.size() <= MAX_KEPT_BYTES) return
+        val response = response ?: return
+        if (head?.notRun == true || response.status().code() !in SUCCESS) return malformed("failure answer without end")
+        large = true
+        owner.largeStarted(this, response)
+        owner.largeData(this, body.toByteArray())
+        body.reset()
+    }
+
     override fun ended() {
         if (over) return
         val response = response ?: return
@@ -121,6 +159,10 @@
                 over(false)
                 owner.streamEnded(this)
             }
+            large -> {
+                over(false)
+                owner.largeEnded(this)
+            }
             status >= FIRST_SERVER_FAILURE || status in PROMISES -> end(AttemptEnd.Failed(status), true, answer)
             else -> {
                 over(false)
@@ -180,6 +222,12 @@
         val SUCCESS = 200..299
         const val FIRST_SERVER_FAILURE = 500
 
+        /** Bytes of an answer that are kept until it is whole; a few hundred such answers fit into a small machine's memory. */
+        const val MAX_KEPT_BYTES = 64 * 1_024
+
+        /** Bytes of a body that count as progress. */
+        const val PROGRESS_BYTES = 512
+
         /** Statuses that promise that a request did not run; without the upstream's word they cannot be relayed. */
         val PROMISES = setOf(408, 421, 429)
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/AttemptOwner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/AttemptOwner.kt
@@ -23,6 +23,21 @@
     /** The stream ended as complete. */
     fun streamEnded(attempt: Attempt)
 
+    /** The beginning of a successful answer that is too large to be kept until it is whole. */
+    fun largeStarted(
+        attempt: Attempt,
+        response: HttpResponse,
+    )
+
+    /** Part of a large answer has arrived. */
+    fun largeData(
+        attempt: Attempt,
+        bytes: ByteArray,
+    )
+
+    /** A large answer ended as complete. */
+    fun largeEnded(attempt: Attempt)
+
     /** A whole answer that is no failure has arrived. */
     fun answered(
         attempt: Attempt,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
@@ -17,10 +17,12 @@
 /**
  * Finds route and client account of each request, and starts its run or refuses it.
  *
+ * @param quotasKnown tells whether it is known who grants quotas
  * @param pauseCheck called before each decision, so that a pause of the machine is noticed before any belief is relied on
  */
 internal class RequestAdmission(
     private val context: ServingContext,
+    private val quotasKnown: () -> Boolean,
     private val pauseCheck: () -> Unit,
 ) : CallerService {
     override val limits: CallerLimits get() = context.belief.table?.limits ?: CallerLimits()
@@ -32,8 +34,8 @@
 
     private val parked = ParkedRequests(context.loop) { request, reply -> serve(request, context.protocol.decode(request.head), reply) }
 
-    /** The first table is in force. */
-    fun tableKnown(): Unit = parked.releaseAll()
+    /** What requests waited for is known. */
+    fun release(): Unit = parked.releaseAll()
 
     override fun serve(
         request: CallerRequest,
@@ -42,7 +44,7 @@
         pauseCheck()
         val head = context.protocol.decode(request.head)
         if (ending) return refuse(head, reply, "the process is about to end")
-        if (context.belief.table != null) return serve(request, head, reply)
+        if (context.belief.table != null && quotasKnown()) return serve(request, head, reply)
         val longest = head.timeLeft?.dividedBy(RequestLimits.PARK_DIVISOR) ?: RequestLimits.LONGEST_PARK
         return parked.park(request, reply, minOf(longest, RequestLimits.LONGEST_PARK))
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestLimits.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestLimits.kt
@@ -31,11 +31,13 @@
     /** Share of the time left after which a repeatable request that got no answer is sent to another upstream. */
     const val ATTEMPT_SHARE = 0.4
 
-    /** Longest silence of a resumable stream before its first event, as a multiple of the target latency. */
-    const val FIRST_EVENT_TARGETS = 2.0
+    /** Callers leave a silent stream after the longest of this time and these multiples of its target latency and longest pause. */
+    val LEAST_PATIENCE: Duration = Duration.ofSeconds(2)
+    const val PATIENCE_TARGETS = 4L
+    const val PATIENCE_PAUSES = 8L
 
-    /** Longest silence of a resumable stream between events, as a multiple of the longest pause that is on time. */
-    const val PAUSE_FACTOR = 4.0
+    /** Share of a caller's patience after which a silent resumable stream goes on at another upstream, which needs the rest. */
+    const val SILENCE_SHARE = 0.5
 
     /** Time left below which an attempt is not started. */
     val LEAST_TIME: Duration = Duration.ofMillis(10)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingRun.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingRun.kt
@@ -60,6 +60,7 @@
     private var sends = 0
     private var counted = false
     private var answerStarted = false
+    private var large = false
     private var streamHead: HttpResponse? = null
     private var lastEventId: Long? = head.lastEventId
     private var over = false
@@ -148,7 +149,29 @@
             if (id != null) lastEventId = id
             startAnswer()
             reply.part(event.bytes)
+            attempt.progressed()
         }
+        if (splitter.pendingBytes > MAX_EVENT_BYTES) attempt.malformed("event without end")
+    }
+
+    override fun largeStarted(
+        attempt: Attempt,
+        response: HttpResponse,
+    ) {
+        answerStarted = true
+        large = true
+        reply.start(response.status(), context.protocol.relay(response))
+    }
+
+    override fun largeData(
+        attempt: Attempt,
+        bytes: ByteArray,
+    ): Unit = reply.part(bytes)
+
+    override fun largeEnded(attempt: Attempt) {
+        close("served")
+        reply.end()
+        context.queues.retry(service)
     }
 
     override fun streamEnded(attempt: Attempt) {
@@ -180,7 +203,8 @@
         proof = proof.and(end.proof)
         if (end.proof != RunProof.NOT_RUN) runs++
         if (end is AttemptEnd.Broken) context.crashes.brokeOff(fingerprint, now())
-        val next = RecoveryPolicy.next(route, end, before, runs, sends, answerStarted) { mayRepeat() }
+        // Another run cannot go on in the middle of an answer without events.
+        val next = if (large) NextStep.ABORT else RecoveryPolicy.next(route, end, before, runs, sends, answerStarted) { mayRepeat() }
         context.log.write(
             GatewayEvent.ATTEMPT_ENDED,
             "request" to head.requestId,
@@ -289,9 +313,9 @@
 
     private fun silenceLimit(): Long {
         if (route.kind != RequestKind.STREAM) return ((deadlineNanos - now()) * RequestLimits.ATTEMPT_SHARE).toLong()
-        val pause = route.longestPause
-        if (answerStarted && pause != null) return (pause.toNanos() * RequestLimits.PAUSE_FACTOR).toLong()
-        return (route.targetLatency.toNanos() * RequestLimits.FIRST_EVENT_TARGETS).toLong()
+        val pause = route.longestPause?.multipliedBy(RequestLimits.PATIENCE_PAUSES) ?: Duration.ZERO
+        val patience = maxOf(RequestLimits.LEAST_PATIENCE, route.targetLatency.multipliedBy(RequestLimits.PATIENCE_TARGETS), pause)
+        return (patience.toNanos() * RequestLimits.SILENCE_SHARE).toLong()
     }
 
     private fun deadlinePassed() {
@@ -377,6 +401,9 @@
     internal companion object {
         private const val NANOS_PER_MILLI = 1_000_000L
 
+        /** Largest event that is kept until it is whole; events of token streams have some hundred bytes. */
+        private const val MAX_EVENT_BYTES = 64 * 1_024
+
         /** Shortest interval between two checks of an attempt's progress. */
         private const val MIN_CHECK_NANOS = 20_000_000L
         private val EMPTY_BODY = ByteArray(0)
