--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/HeldQuotas.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/HeldQuotas.kt
@@ -147,7 +147,7 @@
         /** Ceiling of a new division: usual days stay below half of a quota. */
         public const val FIRST_CEILING: Double = 0.5
 
-        private const val CEILING_STEP = 0.25
+        private const val CEILING_STEP = 0.15
         private const val UNCONFIRMED = Long.MIN_VALUE
 
         /** Age of the division beyond which nothing is granted; several of the longest waits for news of it. */
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.serving.InstanceRecord
+import io.buckthornlever.core.serving.LiveInstances
 import io.buckthornlever.gateway.connection.ServerAddress
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBufUtil
@@ -34,8 +35,7 @@
 ) {
     private val addresses = HashMap<String, InetSocketAddress>()
     private val records = HashMap<String, InstanceRecord>()
-    private val lastHeard = HashMap<String, Long>()
-    private var silent: Set<String> = emptySet()
+    private val instances = LiveInstances()
     private var overviewSender: String? = null
     private var overviewFencing = Long.MIN_VALUE
     private var overviewAt = Long.MIN_VALUE / 2
@@ -47,11 +47,7 @@
     private val interval: Duration get() = Duration.ofMillis(maxOf(MIN_INTERVAL_MILLIS, addresses.size * MILLIS_PER_INSTANCE))
 
     /** Names of the other instances that exist. */
-    fun live(): Set<String> {
-        if (!node.leads()) return addresses.keys - silent
-        val now = clock.monotonicNanos()
-        return addresses.keys.filterTo(HashSet()) { now - (lastHeard[it] ?: now) <= GONE_NANOS }
-    }
+    fun live(): Set<String> = instances.live(node.leads(), clock.monotonicNanos())
 
     fun start(address: ServerAddress) {
         val bound =
@@ -75,13 +71,13 @@
         if (record.name == self) return
         records[record.name] = record
         addresses[record.name] = InetSocketAddress(record.host, record.peerPort)
-        lastHeard[record.name] = clock.monotonicNanos()
+        instances.heard(record.name, clock.monotonicNanos())
     }
 
     fun unlisted(name: String) {
         addresses.remove(name)
         records.remove(name)
-        lastHeard.remove(name)
+        instances.unlisted(name)
     }
 
     /** Sends [message] to the instance [name]; returns false when it is not known. */
@@ -126,7 +122,7 @@
         overviewFencing = overview.fencing
         overviewSender = overview.sender
         overviewAt = clock.monotonicNanos()
-        silent = overview.silent - self
+        instances.told(overview.silent - self)
         node.heard(overview)
         // A new holder knows nothing yet.
         if (isNew || !told) send(overview.sender, node.state())
@@ -149,7 +145,7 @@
                     return
                 }
             if (message.sender == self || message.sender !in addresses) return
-            lastHeard[message.sender] = clock.monotonicNanos()
+            instances.heard(message.sender, clock.monotonicNanos())
             if (message is PeerMessage.Overview) overview(message) else node.heard(message)
         }
     }
@@ -168,8 +164,5 @@
 
         /** Silence of the holder after which nobody is told, until a holder is heard again. */
         const val HOLDER_GONE_NANOS = 5_000_000_000L
-
-        /** Silence after which an instance counts as gone; longer than a restart takes. */
-        const val GONE_NANOS = 15_000_000_000L
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
@@ -43,7 +43,11 @@
         val silent: Set<String>,
     ) : PeerMessage
 
-    /** Asks a holder of quota shares to charge [cost] units to [account]; [id] is unique for the sender and [incarnation]. */
+    /**
+     * Asks a holder of quota shares to charge [cost] units to [account]; [id] is unique for the sender and [incarnation].
+     *
+     * @property raise true when no holder has room below its ceiling
+     */
     @Serializable
     @SerialName("c")
     data class ChargeQuestion(
@@ -52,6 +56,7 @@
         val id: Long,
         val account: String,
         val cost: Double,
+        val raise: Boolean,
     ) : PeerMessage
 
     /** Answers the question [id]; [free] units are left. */
@@ -79,7 +84,7 @@
     enum class Verdict {
         CHARGED,
 
-        /** There is room above the ceiling, which is being raised. */
+        /** There is room above the ceiling, which is raised for a question that says so. */
         LATER,
         NO_ROOM,
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDesk.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDesk.kt
@@ -46,7 +46,6 @@
         if (account.ratePerSecond <= 0) return done(QuotaOutcome.Unlimited)
         val own = held.charge(account, cost, clock.monotonicNanos())
         if (own is QuotaCharge.Granted) return done(QuotaOutcome.ChargedHere(own))
-        if (own == QuotaCharge.AboveCeiling) raise(account.id)
         Question(account, cost, done, own == QuotaCharge.AboveCeiling).askNext()
     }
 
@@ -70,7 +69,7 @@
             when {
                 repeated != null -> PeerMessage.Verdict.CHARGED
                 known == null || !(question.cost >= 0) -> PeerMessage.Verdict.NO_ROOM
-                else -> charged(asked, known, question.cost, now)
+                else -> charged(asked, known, question, now)
             }
         val free = if (known == null) 0.0 else held.free(known, now)
         send(question.sender, PeerMessage.ChargeAnswer(self, question.incarnation, question.id, verdict, free))
@@ -98,17 +97,17 @@
     private fun charged(
         asked: Asked,
         account: ServedAccount,
-        cost: Double,
+        question: PeerMessage.ChargeQuestion,
         now: Long,
     ): PeerMessage.Verdict =
-        when (val charge = held.charge(account, cost, now)) {
+        when (val charge = held.charge(account, question.cost, now)) {
             is QuotaCharge.Granted -> {
                 answered[asked] = Charged(charge)
                 if (answered.size > REMEMBERED) answered.remove(answered.keys.first())
                 PeerMessage.Verdict.CHARGED
             }
             QuotaCharge.AboveCeiling -> {
-                raise(account.id)
+                if (question.raise) raise(account.id)
                 PeerMessage.Verdict.LATER
             }
             QuotaCharge.NoRoom -> PeerMessage.Verdict.NO_ROOM
@@ -118,8 +117,9 @@
         private val account: ServedAccount,
         private val cost: Double,
         private val done: (QuotaOutcome) -> Unit,
-        private var later: Boolean,
+        private var ownLater: Boolean,
     ) {
+        private var later = ownLater
         private val asked = HashSet<String>()
         private var id = 0L
         private var holder = ""
@@ -130,16 +130,20 @@
         fun askNext() {
             val now = clock.monotonicNanos()
             val holdings = held.holdings ?: return done(QuotaOutcome.Unreachable)
-            val next = choice.order(holdings, account.id, cost, now, near).firstOrNull { it !in asked }
+            // What was heard in the first round does not say what a higher ceiling leaves.
+            val least = if (rounds == 1) cost else 0.0
+            val next = choice.order(holdings, account.id, least, now, near).firstOrNull { it !in asked }
             if (next == null || asked.size >= MAX_ASKED) return exhausted()
             asked.add(next)
             holder = next
             id = nextId++
-            if (!send(next, PeerMessage.ChargeQuestion(self, incarnation, id, account.id.value, cost))) return askNext()
+            if (!send(next, question())) return askNext()
             open[id] = this
             timer = loop.schedule({ silent() }, ANSWER_TIME.toMillis(), TimeUnit.MILLISECONDS)
         }
 
+        private fun question() = PeerMessage.ChargeQuestion(self, incarnation, id, account.id.value, cost, raise = rounds > 1)
+
         fun answered(answer: PeerMessage.ChargeAnswer) {
             settle()
             heard = true
@@ -169,6 +173,8 @@
 
         private fun exhausted() {
             if (later && rounds++ < MAX_ROUNDS) {
+                // Ceilings are raised only when none leaves room, since what lies above them is free after a restart.
+                if (ownLater) raise(account.id)
                 asked.clear()
                 loop.schedule({ again() }, RAISE_TIME.toMillis(), TimeUnit.MILLISECONDS)
             } else {
@@ -179,7 +185,8 @@
         private fun again() {
             val own = held.charge(account, cost, clock.monotonicNanos())
             if (own is QuotaCharge.Granted) return done(QuotaOutcome.ChargedHere(own))
-            later = own == QuotaCharge.AboveCeiling
+            ownLater = own == QuotaCharge.AboveCeiling
+            later = ownLater
             askNext()
         }
     }
