--- /dev/null
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/DutyCandidates.kt
@@ -0,0 +1,18 @@
+package io.buckthornlever.core.serving
+
+/**
+ * The few instances that look for a free duty lease often. With all of them, calls to the store would grow with the site for as long
+ * as nobody holds the lease.
+ */
+public object DutyCandidates {
+    private const val COUNT = 3
+
+    /** True when [self] is among the candidates of a site with the [others]. */
+    public fun includes(
+        self: String,
+        others: Collection<String>,
+    ): Boolean {
+        val own = ContentHash.of(self)
+        return others.count { ContentHash.of(it) < own } < COUNT
+    }
+}
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayChoice.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayChoice.kt
@@ -12,12 +12,13 @@
 ) {
     private val avoidedUntil = HashMap<String, Long>()
 
-    /** The instance to follow, or null when this one follows the store itself. */
+    /** The instance to follow, or null when this one follows the store itself; [except] is left out. */
     public fun choose(
         members: Collection<InstanceRecord>,
         nanos: Long,
+        except: String? = null,
     ): InstanceRecord? {
-        val all = members.filter { it.name != self.name } + self
+        val all = members.filter { it.name != self.name && it.name != except } + self
         val group = if (all.size <= SMALL_SITE) all else all.filter { it.domain == self.domain }
         val usable = group.filter { it === self || nanos >= (avoidedUntil[it.name] ?: Long.MIN_VALUE) }
         val first = usable.minWithOrNull(ORDER)
@@ -37,8 +38,8 @@
         /** Instances up to which one relay serves a whole site. */
         const val SMALL_SITE = 24
 
-        /** Longer than a restart takes. */
-        const val AVOID_NANOS = 4_000_000_000L
+        /** Longer than most outages of a relay: each return to one that is not back yet costs calls to the store. */
+        const val AVOID_NANOS = 10_000_000_000L
 
         /** Large tables go to many followers at once, so the widest link comes first. */
         val ORDER: Comparator<InstanceRecord> =
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
@@ -44,6 +44,7 @@
     private val machine = LeaseMachine(settings(leaseTtl))
     private var state = LeaseState(InstanceId(self), clock.now().toEpochMilli())
     private var othersHoldUntil = Long.MIN_VALUE
+    private var steppedAt = Long.MIN_VALUE / 2
     private var fenced = Long.MIN_VALUE
     private val settled = HashSet<Long>()
     private val pending = HashSet<Long>()
@@ -56,9 +57,15 @@
         othersHoldUntil = clock.monotonicNanos() + HEARSAY.toNanos()
     }
 
-    fun tick() {
+    /** Takes part in the lease; [isCandidate] tells whether this instance is among the first that should hold it. */
+    fun tick(isCandidate: Boolean) {
         val now = Moment.of(clock)
-        if (state.held != null || state.pending != null || now.nanos >= othersHoldUntil) step(LeaseEvent.Tick)
+        val involved = state.held != null || state.pending != null || state.readDeadline != null
+        val pace = if (isCandidate) Duration.ZERO else OTHERS_PACE
+        if (involved || (now.nanos >= othersHoldUntil && now.nanos - steppedAt >= pace.toNanos())) {
+            steppedAt = now.nanos
+            step(LeaseEvent.Tick)
+        }
         if (usageWindow != null && permit() != null) reportUsage(now.wallMillis)
     }
 
@@ -181,6 +188,9 @@
         /** Time for which a peer's word about the lease counts; several of its messages. */
         val HEARSAY: Duration = Duration.ofSeconds(2)
 
+        /** Interval in which instances that are no candidates look whether anyone holds the lease; the candidates may all be cut off. */
+        val OTHERS_PACE: Duration = Duration.ofSeconds(6)
+
         fun settings(ttl: Duration): LeaseSettings =
             LeaseSettings(
                 ttl = ttl,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -17,6 +17,7 @@
 import io.buckthornlever.api.serving.StateValue
 import io.buckthornlever.core.serving.CrashTally
 import io.buckthornlever.core.serving.DemandMeter
+import io.buckthornlever.core.serving.DutyCandidates
 import io.buckthornlever.core.serving.HeldQuotas
 import io.buckthornlever.core.serving.LapseHold
 import io.buckthornlever.core.serving.RelayLog
@@ -167,7 +168,7 @@
             board.lapsedBefore(now).forEach { log.write(GatewayEvent.UPSTREAM_GONE, "upstream" to it) }
         }
         members()
-        if (stoppingSince == null) runner.tick()
+        if (stoppingSince == null) runner.tick(DutyCandidates.includes(settings.instance, peers.live()))
         val table = belief.table
         val fencing = runner.fencing
         if (table != null && fencing != null) orders.tick(table, fencing)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
@@ -73,19 +73,39 @@
             when {
                 answer != null -> done(Ok(StateChanges(answer.changes, answer.revision, answer.asOfNanos)))
                 forgotten -> done(Err(StateFailure.HistoryGone))
-                // The store has not answered yet, so its own watch tells what the relay may have missed.
-                else -> instead(relay, done) { direct.watch(kind, since, AFTER_FAILURE_WAIT, it) }
+                else -> watchOther(relay, kind, since, done)
             }
         }
     }
 
+    /** Asks the relay that comes after [failed], and the store when that one has no answer either. */
+    private fun watchOther(
+        failed: InstanceRecord,
+        kind: StateKind,
+        since: Long,
+        done: (Result<StateChanges, StateFailure>) -> Unit,
+    ) {
+        val other = choice.choose(members(), clock.monotonicNanos(), except = failed.name)
+        // The store has not answered yet, so its own watch tells what the relays may have missed.
+        val askStore = { instead(failed, done) { direct.watch(kind, since, AFTER_FAILURE_WAIT, it) } }
+        if (other == null || isStoreAway()) return askStore()
+        val path = "${RelayPaths.of(kind)}?${RelayPaths.SINCE}=$since&${RelayPaths.WAIT_MILLIS}=0"
+        ask(other, path, Duration.ZERO) { answer, _ ->
+            if (answer == null) return@ask askStore()
+            choice.avoid(failed.name, clock.monotonicNanos())
+            done(Ok(StateChanges(answer.changes, answer.revision, answer.asOfNanos)))
+        }
+    }
+
+    private fun isStoreAway(): Boolean = clock.monotonicNanos() - storeFailedAt < STORE_RETRY.toNanos()
+
     /** Makes [call] to the store in place of one to [relay]. */
     private fun <T> instead(
         relay: InstanceRecord,
         done: (Result<T, StateFailure>) -> Unit,
         call: ((Result<T, StateFailure>) -> Unit) -> Unit,
     ) {
-        if (clock.monotonicNanos() - storeFailedAt < STORE_RETRY.toNanos()) {
+        if (isStoreAway()) {
             loop.execute { done(Err(StateFailure.Refused("neither the relay nor the store answers"))) }
             return
         }
@@ -163,7 +183,7 @@
         const val GONE = 410
 
         /** Time beyond its wait in which a relay answers; much more than a round trip between failure domains. */
-        val ANSWER_TIME: Duration = Duration.ofMillis(500)
+        val ANSWER_TIME: Duration = Duration.ofMillis(400)
 
         /** A lost opening packet counts as no connection. */
         val CONNECT_TIMEOUT: Duration = Duration.ofMillis(300)
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelayTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelayTest.kt
@@ -83,6 +83,26 @@
         assertEquals(1, store.calls.get())
     }
 
+    @Test
+    fun `a watch goes to the next relay before the store when the first one has lost it`() {
+        onLoop { log.synchronised(1, SystemClock.monotonicNanos() - Duration.ofSeconds(6).toNanos()) }
+        val good = RelayLog(Duration.ofSeconds(5))
+        val second = CallerListener(loop, RelayService(loop, SystemClock, mapOf(StateKind.SERVING_TABLE to good)) { }, SystemClock)
+        onLoop {
+            good.synchronised(7, SystemClock.monotonicNanos())
+            good.changed(StateObject("main", 9, StateValue.Table(TABLE)))
+            good.synchronised(9, SystemClock.monotonicNanos())
+        }
+        val self = InstanceRecord("follower", "127.0.0.1", 1, FailureDomain("a"), 1.0)
+        val first = InstanceRecord("first", "127.0.0.1", listener.listen(LOOPBACK), FailureDomain("a"), 3.0)
+        val other = InstanceRecord("second", "127.0.0.1", second.listen(LOOPBACK), FailureDomain("a"), 2.0)
+        val follower = RelayedStore(store, self, { listOf(first, other) }, loop, SystemClock, EventLog("follower"))
+        val changes = CompletableFuture<Result<StateChanges, StateFailure>>()
+        loop.execute { follower.watch(StateKind.SERVING_TABLE, 7, Duration.ofSeconds(1)) { changes.complete(it) } }
+        assertEquals(9, checkNotNull(changes.get(5, TimeUnit.SECONDS).get()).revision)
+        assertEquals(0, store.calls.get())
+    }
+
     private fun known(revision: Long) =
         onLoop {
             log.changed(StateObject("main", revision, StateValue.Table(TABLE)))
