--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDivisions.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDivisions.kt
@@ -34,6 +34,7 @@
     private var seen: Set<InstanceRecord> = emptySet()
     private var seenAt = clock.monotonicNanos()
     private var revision = 0L
+
     /** True once it is known how quotas are divided, or that they are not yet. */
     var known = false
         private set
