Ask holders to raise their ceiling also when they are known to have no room below it

QuotaDeskTest, new, failed: an instance that had heard that no holder has room asked nobody and refused, though the ceiling of the account stood at half of its shares.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDesk.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaDesk.kt
@@ -172,6 +172,8 @@
         }
 
         private fun exhausted() {
+            // Holders that were left out in the first round because they had no room may have some above their ceiling.
+            if (rounds == 1 && (held.holdings?.accounts?.get(account.id)?.ceiling ?: 1.0) < 1) later = true
             if (later && rounds++ < MAX_ROUNDS) {
                 // Ceilings are raised only when none leaves room, since what lies above them is free after a restart.
                 if (ownLater) raise(account.id)
