--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
@@ -26,7 +26,7 @@
 class DutyRunnerTest {
     private val clock = ManualClock()
     private val store = MemoryStore()
-    private val duties = Reports()
+    private val duties = RecordedDuties()
     private val ledger = UsageLedger(WINDOW.toMillis())
     private val runner = DutyRunner("i", clock, store, duties, ledger, WINDOW, Duration.ofSeconds(3), EventLog("i"))
 
@@ -63,7 +63,7 @@
         }
     }
 
-    private class Reports : SingletonDuties {
+    private class RecordedDuties : SingletonDuties {
         val reports = ArrayList<UsageWindow>()
 
         override fun reportUsage(
