Record quota ceilings per holder, and take over the duty lease when it ends

Cause: a ceiling belonged to all shares of an account, was raised for all of them when one large request needed it, and never lowered.

Change: each holder keeps its ceilings in an object of its own. It records a ceiling before it grants under it, raises only its own, and lowers them after two windows without need. A process grants after its start what lies above its predecessor's ceiling, once it has recorded that part. A write without a known result is settled before anything above it is granted. One holder raises per round of a charge, and reports the units that it could grant after a raise.

Change: the holder tells the candidates how long it may act on which version of the record, and the demand over all instances. A candidate takes over once that time and the clock error have passed.

--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/AccountHolding.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/AccountHolding.kt
@@ -5,8 +5,7 @@
 /**
  * The shares into which the quota of one client account is divided.
  *
- * @property ceiling fraction of a share that its holder may grant in one window, from 0 to 1; the rest stays free for a
- *   holder that restarts and no longer knows what it granted
+ * @property ceiling fraction of a share that a holder without [RecordedCeilings] may have granted in one window, from 0 to 1
  * @property shares shares of equal size; an instance may hold several
  */
 @Serializable
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateKind.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateKind.kt
@@ -23,6 +23,9 @@
     /** Usage of closed accounting windows, created once by the lease holder. */
     USAGE_WINDOWS,
 
-    /** Assignment of quota shares to instances, written conditionally by the lease holder and by holders of shares. */
+    /** Assignment of quota shares to instances, written conditionally by the lease holder. */
     QUOTA_HOLDINGS,
+
+    /** Ceilings of the quota shares of one instance, each written conditionally by its own instance. */
+    QUOTA_CEILINGS,
 }
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
@@ -45,6 +45,12 @@
         val holdings: QuotaHoldings,
     ) : StateValue
 
+    /** Content of [StateKind.QUOTA_CEILINGS]. */
+    @Serializable
+    public data class Ceilings(
+        val ceilings: RecordedCeilings,
+    ) : StateValue
+
     /** Content of [StateKind.USAGE_WINDOWS]. */
     @Serializable
     public data class Usage(
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/lease/LeaseEvent.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/lease/LeaseEvent.kt
@@ -32,6 +32,15 @@
         val token: String,
     ) : LeaseEvent
 
+    /**
+     * The holder has told this instance that it acts on the record at [version] until [expiresAt] at the latest, counted on the
+     * monotonic clock of this instance from when the message arrived.
+     */
+    public data class HolderAnnounced(
+        val version: ObjectVersion,
+        val expiresAt: Long,
+    ) : LeaseEvent
+
     /** This instance resigns the lease; all orders that it sent under the lease have ended. */
     public data object ResignRequested : LeaseEvent
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/lease/LeaseMachine.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/lease/LeaseMachine.kt
@@ -8,8 +8,8 @@
 
 /**
  * State machine of one lease, for its holder and for the candidates. It relies on monotonic clocks only: the holder counts the
- * lifetime of the lease from before it sends its write, a candidate from when it first reads the record, and both keep
- * [LeaseSettings.clockErrorBound] as a margin.
+ * lifetime of the lease from before it sends its write, a candidate from when it first reads the record or to when the holder's
+ * own announcement says that it ends, and both keep [LeaseSettings.clockErrorBound] as a margin.
  */
 public class LeaseMachine(
     private val settings: LeaseSettings,
@@ -42,6 +42,7 @@
             is LeaseEvent.WriteDone -> if (state.pending?.record?.token == event.token) confirm(state, event.version, now) else stay(state)
             is LeaseEvent.WriteFailed -> onWriteFailed(state, event.token, now)
             is LeaseEvent.WriteUncertain -> if (state.pending?.record?.token == event.token) readBack(state, now) else stay(state)
+            is LeaseEvent.HolderAnnounced -> stay(state.copy(announced = event))
             LeaseEvent.ResignRequested -> resign(state, now)
         }
 
@@ -109,11 +110,20 @@
         val observed = state.observed ?: return write(state, event.revision.value + 1, null, now)
         val lease = observed.lease
         val wait = lease.record.ttlMillis * NANOS_PER_MILLI + clockErrorBound
-        val available = lease.record.holder == null || now.nanos - observed.since >= wait
+        val available = lease.record.holder == null || now.nanos - observed.since >= wait || hasExpired(state, lease, now)
         if (!available) return stay(state)
         return write(state, maxOf(lease.record.fencing, lease.version.value) + 1, lease.version, now)
     }
 
+    /**
+     * True if the holder itself has told when its lease ends and has not renewed it since. That is known before the record has been
+     * seen unchanged for a whole lifetime of the lease.
+     */
+    private fun hasExpired(state: LeaseState, lease: StoredLease, now: Moment): Boolean {
+        val announced = state.announced ?: return false
+        return announced.version == lease.version && now.nanos >= announced.expiresAt + clockErrorBound
+    }
+
     /**
      * Sends the pending write again. The condition on the version makes a repeated write with the same token harmless; the lifetime
      * of the lease still counts from the first attempt.
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/lease/LeaseState.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/process/lease/LeaseState.kt
@@ -7,6 +7,7 @@
  * State of one instance with regard to one lease. Times are monotonic nanoseconds.
  *
  * @property observed last record read and when it was first seen
+ * @property announced the holder's latest statement about its lease; null when there is none
  * @property held set while this instance holds the lease
  * @property pending write whose outcome is not known yet; null when there is none
  * @property readDeadline time at which the current read counts as unanswered; null when no read is in progress
@@ -20,6 +21,7 @@
     val pending: PendingWrite? = null,
     val readDeadline: Long? = null,
     val nextRead: Long? = null,
+    val announced: LeaseEvent.HolderAnnounced? = null,
 ) {
     /** A record and the time at which it was first read. */
     public data class Observed(
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/LocalQuotaLimiter.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/LocalQuotaLimiter.kt
@@ -13,25 +13,20 @@
  *
  * - The new holder of a share grants from it only once the previous holder can no longer do so and the usage that the previous
  *   holder granted has left the window.
- * - A restarted holder no longer knows what it granted, only that it stayed below its ceiling. Until that usage has left the window,
- *   it grants only the fraction above that ceiling.
+ * - A restarted holder no longer knows what earlier processes granted, only that they stayed below the recorded [QuotaCeilings].
  *
  * Not thread-safe.
  *
  * @param startNanos monotonic time at which this process started
- * @param firstStart true when no instance can have granted anything before this start
  */
 public class LocalQuotaLimiter(
     private val self: String,
     private val bounds: QuotaBounds,
     private val startNanos: Long,
-    private val firstStart: Boolean,
+    private val ceilings: QuotaCeilings,
 ) {
     private val usage = HashMap<AccountId, SlidingWindowSum>()
     private val usableAt = HashMap<ShareKey, Long>()
-
-    /** Ceilings from before the start of this process; null until an allocation has been confirmed after the start. */
-    private var previousCeilings: Map<AccountId, Double>? = null
     private var confirmedAt = NEVER
     private var pausedAt = NEVER
 
@@ -58,12 +53,9 @@
 
     /** Records that the allocation in force was the newest one at [asOfNanos]. */
     public fun onConfirmed(asOfNanos: Long) {
-        if (asOfNanos < pausedAt) return
+        // A relay may deliver an allocation from before the start that is older than the one which an earlier process had in force.
+        if (asOfNanos < maxOf(pausedAt, startNanos)) return
         confirmedAt = maxOf(confirmedAt, asOfNanos)
-        // Before that, a relay may have delivered an allocation older than the one in force before the restart.
-        if (previousCeilings == null && confirmedAt >= startNanos) {
-            previousCeilings = if (firstStart) emptyMap() else holdings?.accounts.orEmpty().mapValues { it.value.ceiling }
-        }
     }
 
     /** Discards the confirmation after a pause that ended at [nanos], since the monotonic clock may not have counted the pause. */
@@ -82,13 +74,33 @@
         val limit = ownLimit(account, holding, nanos)
         val sum = usage.getOrPut(account.id) { SlidingWindowSum(bounds.window.toNanos()) }
         val total = sum.sum(nanos) + cost
-        if (total <= limit * grantableFraction(account.id, holding, nanos)) {
+        if (total <= limit * ceilings.grantable(account.id, nanos)) {
             sum.add(cost, nanos)
             return QuotaCharge.Granted(account.id, cost, nanos)
         }
-        return if (holding.ceiling < 1 && total <= limit) QuotaCharge.AboveCeiling else QuotaCharge.Exhausted
+        val withinRaised = total <= limit * ceilings.grantableWhenRaised(account.id, nanos)
+        return if (limit > 0 && withinRaised) QuotaCharge.AboveCeiling else QuotaCharge.Exhausted
+    }
+
+    /** Requests a ceiling under which [cost] units more can be charged to the shares of [account]. */
+    public fun requestRaise(
+        account: ServedAccount,
+        cost: Double,
+        nanos: Long,
+    ) {
+        val fraction = usedFraction(account, cost, nanos) ?: return
+        if (fraction <= ceilings.grantableWhenRaised(account.id, nanos)) ceilings.raise(account.id, fraction, nanos)
     }
 
+    /** Fraction of its shares of [account] that this instance has granted in the window that ends at [nanos], 0 without shares. */
+    public fun usedFraction(
+        account: ServedAccount,
+        nanos: Long,
+    ): Double = usedFraction(account, 0.0, nanos) ?: 0.0
+
+    /** Units of [account] that all instances together may grant in one window. */
+    public fun limitOf(account: ServedAccount): Double = bounds.limit(account)
+
     /** Reverts the charge of a request that did not run. */
     public fun refund(
         charge: QuotaCharge.Granted,
@@ -101,18 +113,31 @@
     public fun available(
         account: ServedAccount,
         nanos: Long,
+    ): Double = available(account, ceilings.grantable(account.id, nanos), nanos)
+
+    /** Units that this instance could charge to [account] after raising its ceiling. */
+    public fun availableWhenRaised(
+        account: ServedAccount,
+        nanos: Long,
+    ): Double = available(account, ceilings.grantableWhenRaised(account.id, nanos), nanos)
+
+    private fun available(
+        account: ServedAccount,
+        grantable: Double,
+        nanos: Long,
     ): Double {
         val holding = holdings?.accounts?.get(account.id) ?: return 0.0
-        val allowed = ownLimit(account, holding, nanos) * grantableFraction(account.id, holding, nanos)
-        return maxOf(0.0, allowed - (usage[account.id]?.sum(nanos) ?: 0.0))
+        return maxOf(0.0, ownLimit(account, holding, nanos) * grantable - (usage[account.id]?.sum(nanos) ?: 0.0))
     }
 
-    /** Returns the allocation in force with a higher ceiling for [account], or null when the ceiling cannot be raised. */
-    public fun withRaisedCeiling(account: AccountId): QuotaHoldings? {
-        val current = holdings ?: return null
-        val holding = current.accounts[account]?.takeIf { it.ceiling < 1 } ?: return null
-        val next = holding.copy(ceiling = minOf(1.0, holding.ceiling + CEILING_STEP))
-        return QuotaHoldings(current.accounts + (account to next))
+    private fun usedFraction(
+        account: ServedAccount,
+        cost: Double,
+        nanos: Long,
+    ): Double? {
+        val holding = holdings?.accounts?.get(account.id) ?: return null
+        val limit = ownLimit(account, holding, nanos)
+        return if (limit <= 0) null else ((usage[account.id]?.sum(nanos) ?: 0.0) + cost) / limit
     }
 
     private fun ownLimit(
@@ -120,7 +145,7 @@
         holding: AccountHolding,
         nanos: Long,
     ): Double {
-        if (confirmedAt == NEVER || previousCeilings == null || nanos - confirmedAt > MAX_CONFIRMATION_AGE.toNanos()) return 0.0
+        if (confirmedAt == NEVER || nanos - confirmedAt > MAX_CONFIRMATION_AGE.toNanos()) return 0.0
         val usable =
             holding.shares.withIndex().count { (index, share) ->
                 share.holder == self && usableAt[ShareKey(account.id, index, share.generation)]?.let { nanos >= it } ?: false
@@ -128,16 +153,6 @@
         return bounds.limit(account) * usable / holding.shares.size
     }
 
-    private fun grantableFraction(
-        account: AccountId,
-        holding: AccountHolding,
-        nanos: Long,
-    ): Double {
-        val previousCeiling = previousCeilings?.get(account)
-        if (previousCeiling == null || nanos - startNanos > bounds.window.toNanos()) return holding.ceiling
-        return minOf(holding.ceiling, 1 - previousCeiling)
-    }
-
     private fun handover(): Duration = MAX_CONFIRMATION_AGE + bounds.window
 
     private data class ShareKey(
@@ -146,14 +161,10 @@
         val generation: Int,
     )
 
-    public companion object {
-        /** Ceiling of a new allocation; normal usage stays below half of a quota. */
-        public const val INITIAL_CEILING: Double = 0.5
-
-        private const val CEILING_STEP = 0.15
-        private const val NEVER = Long.MIN_VALUE
+    private companion object {
+        const val NEVER = Long.MIN_VALUE
 
         /** Age of the last confirmation beyond which nothing is granted: several times the longest wait for an update. */
-        private val MAX_CONFIRMATION_AGE: Duration = Duration.ofSeconds(20)
+        val MAX_CONFIRMATION_AGE: Duration = Duration.ofSeconds(20)
     }
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaAllocator.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaAllocator.kt
@@ -36,7 +36,7 @@
         }
         for (account in accounts) {
             if (account.ratePerSecond <= 0 || account.id in next) continue
-            next[account.id] = AccountHolding(LocalQuotaLimiter.INITIAL_CEILING, allocate(account, holders, load))
+            next[account.id] = AccountHolding(QuotaCeilings.INITIAL, allocate(account, holders, load))
         }
         return if (next == current?.accounts.orEmpty()) null else QuotaHoldings(next)
     }
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/process/lease/LeaseModel.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/process/lease/LeaseModel.kt
@@ -66,6 +66,13 @@
         return copy(nodes = nodes.toMutableList().also { it[node] = result.state }, calls = calls + issued, gained = gained + gains)
     }
 
+    /** Delivers what instance [from] announces about the lease that it holds to the other one. */
+    fun announce(from: Int): LeaseModel {
+        val held = nodes[from].held ?: return this
+        val to = 1 - from
+        return event(to, LeaseEvent.HolderAnnounced(held.version, now(to).nanos + held.expiresAt - now(from).nanos)).recordViolations()
+    }
+
     /** Assumes that every instance with a permit sends an order at each step and that each order takes the longest time allowed. */
     private fun recordViolations(): LeaseModel {
         if (violation != null) return this
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/QuotaBurstTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/QuotaBurstTest.kt
@@ -6,6 +6,7 @@
 import java.time.Duration
 import java.util.Random
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /**
@@ -62,6 +63,37 @@
         assertTrue(simulation.maxWindowUsage() <= ALLOWED, "used ${simulation.maxWindowUsage()} of $ALLOWED")
     }
 
+    @Test
+    fun `an account with large requests is still served after all instances were killed in its burst`() {
+        val simulation = QuotaSimulation(9, ACCOUNT, BOUNDS)
+        // Half of the quota, in requests that need most of one share each.
+        for (second in 0L until 5) {
+            val at = Duration.ofSeconds(second).toNanos()
+            val attempts = generateSequence { simulation.serve("i$second", LARGE_COST, at) }.take(MAX_ROUNDS)
+            assertTrue(attempts.any { it }, "not served in second $second")
+        }
+        simulation.names.toList().forEach(simulation::kill)
+        val restart = Duration.ofSeconds(5)
+        repeat(9) { simulation.start("i$it", restart.toNanos()) }
+        val served = (0 until 30).count {
+            simulation.serve("i${it % 9}", MIN_COST + MEAN_EXTRA_COST, restart.plusMillis(it * 30L).toNanos())
+        }
+        assertEquals(30, served)
+        assertTrue(simulation.maxWindowUsage() <= ALLOWED, "used ${simulation.maxWindowUsage()} of $ALLOWED")
+    }
+
+    @Test
+    fun `an instance that is killed four times within a window grants its shares once`() {
+        val simulation = QuotaSimulation(9, ACCOUNT, BOUNDS)
+        for (kill in 0L until 4) {
+            val at = Duration.ofSeconds(kill).toNanos()
+            while (simulation.serve("i0", MIN_COST, at)) Unit
+            simulation.kill("i0")
+            simulation.start("i0", at + Duration.ofMillis(500).toNanos())
+        }
+        assertTrue(simulation.maxWindowUsage() <= ALLOWED, "used ${simulation.maxWindowUsage()} of $ALLOWED")
+    }
+
     @Test
     fun `a normal load is still served after all instances were killed`() {
         val simulation = QuotaSimulation(9, ACCOUNT, BOUNDS)
@@ -115,6 +147,8 @@
         /** Probability that one of nine instances gets a request in a step; all together request several times the quota. */
         const val REQUEST_PROBABILITY = 0.12
         const val MIN_COST = 400.0
+        const val LARGE_COST = 85_000.0
+        const val MAX_ROUNDS = 4
         const val MEAN_EXTRA_COST = 5_000.0
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
@@ -54,11 +54,25 @@
     /** Fencing token of the lease while this instance may act on it, null otherwise. */
     val fencing: Long? get() = permit()?.fencing
 
+    /** Version of the lease record that this instance holds and the time for which it may still act on it; null without the lease. */
+    val heldLease: Pair<ObjectVersion, Duration>? get() =
+        state.held?.let { it.version to Duration.ofNanos(maxOf(0, it.expiresAt - clock.monotonicNanos())) }
+
     /** Called when a peer announces that it holds the lease; suspends polling of the store for [HELD_ELSEWHERE_TTL]. */
     fun onHeldElsewhere() {
         heldElsewhereUntil = clock.monotonicNanos() + HELD_ELSEWHERE_TTL.toNanos()
     }
 
+    /** Called when the holder announces that it acts on the lease record at [version] for at most [left]. */
+    fun onHolderAnnounced(
+        version: ObjectVersion,
+        left: Duration,
+    ) {
+        val expiresAt = clock.monotonicNanos() + left.toNanos()
+        step(LeaseEvent.HolderAnnounced(version, expiresAt))
+        heldElsewhereUntil = minOf(heldElsewhereUntil, expiresAt)
+    }
+
     /**
      * Advances the lease protocol and reports usage that is due.
      *
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -7,6 +7,7 @@
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.serving.InstanceRecord
 import io.buckthornlever.api.serving.QuotaHoldings
 import io.buckthornlever.api.serving.SingletonDuties
@@ -20,6 +21,7 @@
 import io.buckthornlever.core.serving.LeaseCandidates
 import io.buckthornlever.core.serving.LocalQuotaLimiter
 import io.buckthornlever.core.serving.PoisonRequestTracker
+import io.buckthornlever.core.serving.QuotaCeilings
 import io.buckthornlever.core.serving.RelayLog
 import io.buckthornlever.core.serving.ServiceRetryBudget
 import io.buckthornlever.core.serving.ServingTableCache
@@ -52,7 +54,8 @@
     private val tableCache = ServingTableCache(settings.tableAgeLimits)
     private val balancer = UpstreamBalancer(InstanceId(settings.instance), settings.domain)
     private val incarnation = clock.now().toEpochMilli()
-    private val localQuotaLimiter = LocalQuotaLimiter(settings.instance, settings.quota, clock.monotonicNanos(), settings.firstStart)
+    private val quotaCeilings = QuotaCeilings(settings.quota.window, clock.monotonicNanos())
+    private val localQuotaLimiter = LocalQuotaLimiter(settings.instance, settings.quota, clock.monotonicNanos(), quotaCeilings)
     private val retryBudget = ServiceRetryBudget(settings.retryRatio, settings.retryWindow, settings.retrySlack)
     private val poisonRequests = PoisonRequestTracker()
     private val usageLedger = UsageLedger(settings.usageWindow?.toMillis() ?: DEFAULT_WINDOW_MILLIS)
@@ -70,7 +73,7 @@
             { tableCache.table?.account(it) },
             peers::send,
             { peers.recordOf(it)?.domain == settings.domain },
-            { quotaAllocations.raiseCeiling(it) },
+            { account, cost -> ceilingStore.raise(account, cost) },
         )
     private val context =
         ServingContext(
@@ -88,7 +91,7 @@
             log,
             metrics,
         )
-    private val admission = RequestAdmission(context, { quotaAllocations.isKnown }, ::checkPause)
+    private val admission = RequestAdmission(context, ::areQuotasKnown, ::checkPause)
     private val callerListener = CallerListener(loop, admission, clock)
     private val probeListener = CallerListener(loop, ProbeService(::isReady, metrics), clock)
     private val ownRecord =
@@ -98,6 +101,17 @@
     private val relayListener = CallerListener(loop, relayService, clock)
     private val store: StateStore = RelayedStore(directStore, ownRecord, peers::liveRecords, loop, clock, log)
     private val quotaAllocations = QuotaAllocationStore(settings, ownRecord, store, clock, localQuotaLimiter, log)
+    private val ceilingStore =
+        QuotaCeilingStore(
+            settings.instance,
+            settings.firstStart,
+            store,
+            clock,
+            quotaCeilings,
+            localQuotaLimiter,
+            { tableCache.table?.account(it) },
+            log,
+        )
     private val dutyRunner = DutyRunner(settings.instance, clock, store, duties, usageLedger, settings.usageWindow, settings.leaseTtl, log)
     private val orderSender =
         UpstreamOrderSender(settings.instance, settings.domains, clock, duties, balancer, demand, log, dutyRunner::onSuperseded)
@@ -117,7 +131,7 @@
         loop.execute {
             peers.start(settings.peerAddress)
             feedWaits().forEach { (kind, wait) -> StateFeed(kind, wait, store, loop, clock, FeedListener(kind)).start() }
-            quotaAllocations.start { releaseWaiting() }
+            quotaAllocations.start { ceilingStore.start { releaseWaiting() } }
             register()
             tick()
             loop.schedule(log::open, LOG_OPEN_DELAY_MILLIS, TimeUnit.MILLISECONDS)
@@ -163,9 +177,11 @@
 
     /** Releases the requests that were parked until the serving table and the quota allocation are known. */
     private fun releaseWaiting() {
-        if (tableCache.table != null && quotaAllocations.isKnown) admission.releaseParked()
+        if (tableCache.table != null && areQuotasKnown()) admission.releaseParked()
     }
 
+    private fun areQuotasKnown(): Boolean = quotaAllocations.isKnown && ceilingStore.isSettled
+
     private fun isReady(): Boolean {
         val ready = stoppingSince == null && tableCache.isReady(clock.monotonicNanos())
         if (ready != wasReady) {
@@ -189,6 +205,7 @@
             balancer.removeLapsedBefore(now).forEach { log.write(GatewayEvent.UPSTREAM_GONE, "upstream" to it) }
         }
         updateMembers()
+        ceilingStore.update()
         if (stoppingSince == null) dutyRunner.tick(LeaseCandidates.includes(settings.instance, peers.liveNames()))
         val table = tableCache.table
         val fencing = dutyRunner.fencing
@@ -264,8 +281,20 @@
                 silent,
             )
 
+        override fun holderStatus(): PeerMessage.HolderStatus? {
+            val (version, left) = dutyRunner.heldLease ?: return null
+            val now = clock.monotonicNanos()
+            val scaled = tableCache.table?.services.orEmpty().filter { it.scaling != null }
+            val rates = scaled.associate { it.name to demand.tokensPerSecond(it.name, now) }
+            return PeerMessage.HolderStatus(settings.instance, version.value, left.toMillis(), rates)
+        }
+
         override fun onMessage(message: PeerMessage) =
             when (message) {
+                is PeerMessage.HolderStatus -> {
+                    dutyRunner.onHolderAnnounced(ObjectVersion(message.leaseVersion), Duration.ofMillis(message.validMillis))
+                    demand.onAnnounced(message.demand, clock.monotonicNanos())
+                }
                 is PeerMessage.State -> onMessage(message)
                 is PeerMessage.Overview -> {
                     recordUsage(message.sender, message.incarnation, message.windows)
@@ -322,7 +351,7 @@
                 is StateValue.Evacuation -> onEvacuation(FailureDomain(changed.name), true)
                 is StateValue.Instance -> peers.addPeer(value.record)
                 is StateValue.Quota -> quotaAllocations.update(changed.revision, value.holdings)
-                is StateValue.Order, is StateValue.Lease, is StateValue.Usage -> Unit
+                is StateValue.Order, is StateValue.Lease, is StateValue.Usage, is StateValue.Ceilings -> Unit
             }
         }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/LocalInstance.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/LocalInstance.kt
@@ -11,6 +11,9 @@
     /** Overview to send to all other instances while this one holds the duty lease; [silent] are registered but not heard from. */
     fun overview(silent: Set<String>): PeerMessage.Overview
 
+    /** Status to send to the candidates for the duty lease; null while this instance does not hold it. */
+    fun holderStatus(): PeerMessage.HolderStatus?
+
     /** Handles a received message; not called for overviews of former lease holders. */
     fun onMessage(message: PeerMessage)
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.serving.InstanceRecord
+import io.buckthornlever.core.serving.LeaseCandidates
 import io.buckthornlever.core.serving.LiveInstances
 import io.buckthornlever.gateway.connection.ServerAddress
 import io.netty.bootstrap.Bootstrap
@@ -106,9 +107,16 @@
         overviewSentAt = now
         val bytes = encode(localInstance.overview(addresses.keys - liveNames()))
         for (address in addresses.values) openChannel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address))
+        sendHolderStatus()
         openChannel.flush()
     }
 
+    private fun sendHolderStatus() {
+        val status = localInstance.holderStatus() ?: return
+        val live = liveNames() + self
+        live.filter { it != self && LeaseCandidates.includes(it, live - it) }.forEach { send(it, status) }
+    }
+
     private fun sendPeriodically() {
         sendNow()
         val nextInterval = if (localInstance.holdsDutyLease()) minOf(interval, MAX_OVERVIEW_INTERVAL) else interval
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
@@ -47,6 +47,23 @@
         val silent: Set<String>,
     ) : PeerMessage
 
+    /**
+     * What the holder of the duty lease tells the candidates for it, so that one of them can take over soon after the holder has
+     * stopped.
+     *
+     * @property leaseVersion version of the lease record that the holder acts on
+     * @property validMillis time for which it acts on that record unless it renews it
+     * @property demand prompt tokens per second requested from all instances, by service
+     */
+    @Serializable
+    @SerialName("h")
+    data class HolderStatus(
+        override val sender: String,
+        val leaseVersion: Long,
+        val validMillis: Long,
+        val demand: Map<String, Double>,
+    ) : PeerMessage
+
     /**
      * Asks a holder of quota shares to charge [cost] units to [account]. [id] is unique within the sender's [incarnation].
      *
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaAllocationStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaAllocationStore.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
-import io.buckthornlever.api.process.AccountId
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.serving.InstanceRecord
 import io.buckthornlever.api.serving.QuotaHoldings
@@ -19,8 +18,8 @@
 import java.time.Duration
 
 /**
- * The allocation of quotas to instances as kept in the shared store. The lease holder plans it and the holders of shares raise its
- * ceilings. Each instance has at most one write in flight, and every write is conditional on the revision.
+ * The allocation of quotas to instances as kept in the shared store. The lease holder plans it. Each
+ * instance has at most one write in flight, and every write is conditional on the revision.
  */
 internal class QuotaAllocationStore(
     private val settings: GatewaySettings,
@@ -90,11 +89,6 @@
         allocator.next(localLimiter.holdings, accounts, others + record)?.let(::write)
     }
 
-    /** Raises the ceiling of [account] by one step. */
-    fun raiseCeiling(account: AccountId) {
-        localLimiter.withRaisedCeiling(account)?.let(::write)
-    }
-
     private fun write(next: QuotaHoldings) {
         if (isWriting) return
         isWriting = true
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaCharger.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaCharger.kt
@@ -18,7 +18,7 @@
  * @param findAccount looks up an account in the current serving table
  * @param send sends a message to the named instance; returns false if it was not sent, for example because the instance is unknown
  * @param isNear tells whether the named instance is in the same failure domain
- * @param raiseCeiling requests a higher ceiling for the shares of an account
+ * @param raiseCeiling requests a ceiling under which that many units more can be charged to the shares of an account
  */
 internal class QuotaCharger(
     private val self: String,
@@ -29,7 +29,7 @@
     private val findAccount: (AccountId) -> ServedAccount?,
     private val send: (String, PeerMessage) -> Boolean,
     private val isNear: (String) -> Boolean,
-    private val raiseCeiling: (AccountId) -> Unit,
+    private val raiseCeiling: (ServedAccount, Double) -> Unit,
 ) {
     private val holderSelector = QuotaHolderSelector(self)
     private val openCharges = HashMap<Long, RemoteCharge>()
@@ -49,6 +49,9 @@
         RemoteCharge(account, cost, done, local == QuotaCharge.AboveCeiling).askNext()
     }
 
+    /** Units of [account] that all instances together may grant in one window. */
+    fun limitOf(account: ServedAccount): Double = localLimiter.limitOf(account)
+
     /** Refunds the charge of a request that did not run. */
     fun refund(outcome: QuotaOutcome) {
         when (outcome) {
@@ -71,7 +74,7 @@
                 account == null || !(request.cost >= 0) -> PeerMessage.Verdict.NO_ROOM
                 else -> grant(key, account, request, now)
             }
-        val free = if (account == null) 0.0 else localLimiter.available(account, now)
+        val free = if (account == null) 0.0 else localLimiter.availableWhenRaised(account, now)
         send(request.sender, PeerMessage.ChargeResponse(self, request.incarnation, request.id, verdict, free))
     }
 
@@ -107,13 +110,13 @@
                 PeerMessage.Verdict.CHARGED
             }
             QuotaCharge.AboveCeiling -> {
-                if (request.raise) raiseCeiling(account.id)
+                if (request.raise) raiseCeiling(account, request.cost)
                 PeerMessage.Verdict.LATER
             }
             QuotaCharge.Exhausted -> PeerMessage.Verdict.NO_ROOM
         }
 
-    /** A charge that is being offered to other holders, in rounds while ceilings are raised. */
+    /** A charge that is being offered to other holders, in rounds while a holder raises its ceiling. */
     private inner class RemoteCharge(
         private val account: ServedAccount,
         private val cost: Double,
@@ -131,9 +134,7 @@
         fun askNext() {
             val now = clock.monotonicNanos()
             val holdings = localLimiter.holdings ?: return done(QuotaOutcome.Unreachable)
-            // The free room reported in the first round does not account for a ceiling raised since.
-            val minimumFree = if (round == 1) cost else 0.0
-            val next = holderSelector.candidates(holdings, account.id, minimumFree, now, isNear).firstOrNull { it !in askedHolders }
+            val next = holderSelector.candidates(holdings, account.id, cost, now, isNear).firstOrNull { it !in askedHolders }
             if (next == null || askedHolders.size >= MAX_ASKED) return onHoldersExhausted()
             askedHolders.add(next)
             holder = next
@@ -153,7 +154,8 @@
                 PeerMessage.Verdict.CHARGED -> done(QuotaOutcome.ChargedRemotely(response.sender, response.id))
                 PeerMessage.Verdict.LATER -> {
                     ceilingReached = true
-                    askNext()
+                    // One raised ceiling is enough; more would only leave less for these holders after a restart.
+                    if (round == 1) askNext() else onHoldersExhausted()
                 }
                 PeerMessage.Verdict.NO_ROOM -> askNext()
             }
@@ -173,11 +175,9 @@
         }
 
         private fun onHoldersExhausted() {
-            // Holders that were skipped in the first round for lack of room may have room above their ceiling.
-            if (round == 1 && (localLimiter.holdings?.accounts?.get(account.id)?.ceiling ?: 1.0) < 1) ceilingReached = true
             if (ceilingReached && round++ < MAX_ROUNDS) {
                 // Ceilings are raised only when no holder has room: the part above them is what a restarted holder may grant at once.
-                if (ownCeilingReached) raiseCeiling(account.id)
+                if (ownCeilingReached) raiseCeiling(account, cost)
                 askedHolders.clear()
                 loop.schedule({ startNextRound() }, CEILING_RAISE_TIME.toMillis(), TimeUnit.MILLISECONDS)
             } else {
@@ -190,7 +190,7 @@
             if (local is QuotaCharge.Granted) return done(QuotaOutcome.ChargedLocally(local))
             ownCeilingReached = local == QuotaCharge.AboveCeiling
             ceilingReached = ownCeilingReached
-            askNext()
+            if (ownCeilingReached) onHoldersExhausted() else askNext()
         }
     }
 
