Order replacements of reclaimed upstreams at once

A new holder of the duty lease waited 2.5 s for registrations that it had known for long.

Change: an order that had been filled is due again as soon as fewer upstreams run than ordered. The time for registrations counts from the first upstream that the instance has seen.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
@@ -18,7 +18,6 @@
     private val service: String,
 ) {
     private var plannedCount = 0
-    private var planningStartsAt = Long.MIN_VALUE
     private var scaleDownAfter = Long.MIN_VALUE
     private var extraOnDemand = 0
     private var extraOnDemandUntil = Long.MIN_VALUE
@@ -31,8 +30,8 @@
     }
 
     /**
-     * Returns the wanted counts by failure domain and kind; empty while no upstream of the service is known, and for
-     * [REGISTRATION_NANOS] after the first one was seen.
+     * Returns the wanted counts by failure domain and kind; empty while no upstream of the service is known, and until
+     * [REGISTRATION_NANOS] after this instance has seen the first one.
      *
      * @param tokensPerSecond recent demand in prompt tokens per second
      * @param evacuated failure domains whose upstreams get no requests
@@ -47,8 +46,7 @@
     ): List<UpstreamOrder> {
         val present = upstreams.filter { it.upstream.service == service && !it.upstream.leaving }
         if (present.isEmpty() || domains.isEmpty()) return emptyList()
-        if (planningStartsAt == Long.MIN_VALUE) planningStartsAt = nanos + REGISTRATION_NANOS
-        if (nanos < planningStartsAt) return emptyList()
+        if (nanos < upstreams.filter { it.upstream.service == service }.minOf { it.firstSeenNanos } + REGISTRATION_NANOS) return emptyList()
         val needed = neededUpstreams(present.size, tokensPerSecond, nanos)
         val open = domains.filter { it !in evacuated }.ifEmpty { domains }
         if (limits.reclaimablePrice == null) return onDemandOnlyOrders(limits, domains, open, needed, present)
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -50,7 +50,7 @@
         nanos: Long,
     ) {
         val known = entries[upstream.id]
-        val entry = if (known == null || isDifferentProcess(known.upstream, upstream)) UpstreamEntry(upstream) else known
+        val entry = if (known == null || isDifferentProcess(known.upstream, upstream)) UpstreamEntry(upstream, nanos) else known
         entries[upstream.id] = entry
         entry.upstream = upstream
         entry.lapsedAt = null
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
@@ -5,6 +5,7 @@
 /** State of one upstream as known to this instance. */
 public class UpstreamEntry internal constructor(
     upstream: DiscoveredUpstream,
+    internal val firstSeenNanos: Long,
 ) {
     internal var loadOfOtherInstances = 0
     internal var pendingTokens = 0L
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
@@ -100,6 +100,14 @@
         assertTrue(plan.orders(limits, domains, balancer.upstreams.toList(), 0.0, 0).isEmpty())
     }
 
+    @Test
+    fun `an instance that takes over the plan orders at once and for the demand instead of what is left after a reclaim`() {
+        register("spot", 1, reclaimable = true)
+        val successor = CapacityPlan("s")
+        val orders = successor.orders(limits, domains, balancer.upstreams.toList(), 180_000.0, LONG_AFTER)
+        assertTrue(orders.sumOf { it.count } >= 6, "$orders")
+    }
+
     private fun orders(
         tokensPerSecond: Int,
         nanos: Long,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/UpstreamOrderSender.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/UpstreamOrderSender.kt
@@ -9,11 +9,10 @@
 import io.buckthornlever.core.serving.CapacityPlan
 import io.buckthornlever.core.serving.DemandMeter
 import io.buckthornlever.core.serving.UpstreamBalancer
-import java.time.Duration
+import io.buckthornlever.core.serving.UpstreamOrderSchedule
 
 /**
- * Sends the upstream orders of the capacity plans to the platform while this instance holds the duty lease. An order states the
- * wanted number of upstreams and is idempotent. It is sent when the plan changes and repeated while the upstreams do not appear.
+ * Sends the upstream orders of the capacity plans to the platform while this instance holds the duty lease.
  */
 internal class UpstreamOrderSender(
     private val self: String,
@@ -26,7 +25,7 @@
     private val onSuperseded: (Long) -> Unit,
 ) {
     private val plans = HashMap<String, CapacityPlan>()
-    private val sentOrders = HashMap<OrderKey, SentOrder>()
+    private val schedule = UpstreamOrderSchedule()
     private var actingFencing = Long.MIN_VALUE
 
     fun tick(
@@ -35,7 +34,7 @@
     ) {
         if (fencing != actingFencing) {
             // The orders of the previous holder are not known to this instance.
-            sentOrders.clear()
+            schedule.clear()
             plans.clear()
             actingFencing = fencing
         }
@@ -45,23 +44,11 @@
             val plan = plans.getOrPut(service.name) { CapacityPlan(service.name) }
             plan
                 .orders(limits, domains, balancer.upstreams.toList(), demand.tokensPerSecond(service.name, now), now, balancer.evacuated)
-                .filter { isDue(it, now) }
+                .filter { schedule.isDue(it, runningCount(it), now) }
                 .forEach { send(it, fencing, now) }
         }
     }
 
-    private fun isDue(
-        order: UpstreamOrder,
-        now: Long,
-    ): Boolean {
-        val last = sentOrders[OrderKey(order)] ?: return true
-        if (last.inFlight) return false
-        val elapsed = Duration.ofNanos(now - last.atNanos)
-        if (last.outcome != DutyOutcome.ACCEPTED) return elapsed >= RETRY_AFTER_REFUSAL
-        if (last.count != order.count) return elapsed >= MIN_CHANGE_INTERVAL
-        return runningCount(order) != order.count && elapsed >= RETRY_WHEN_MISSING
-    }
-
     private fun runningCount(order: UpstreamOrder): Int =
         balancer.upstreams.count {
             val upstream = it.upstream
@@ -76,11 +63,9 @@
         fencing: Long,
         now: Long,
     ) {
-        val sent = SentOrder(order.count, now)
-        sentOrders[OrderKey(order)] = sent
+        val sent = schedule.onSent(order, now)
         duties.orderUpstreams(self, fencing, order) { outcome ->
-            sent.inFlight = false
-            sent.outcome = outcome
+            sent.onOutcome(outcome)
             log.write(
                 GatewayEvent.UPSTREAMS_ORDERED,
                 "service" to order.service,
@@ -95,31 +80,4 @@
             if (order.reclaimable) plans[order.service]?.onReclaimableRefused(clock.monotonicNanos()) else onSuperseded(fencing)
         }
     }
-
-    private data class OrderKey(
-        val service: String,
-        val domain: FailureDomain,
-        val reclaimable: Boolean,
-    ) {
-        constructor(order: UpstreamOrder) : this(order.service, order.domain, order.reclaimable)
-    }
-
-    private class SentOrder(
-        val count: Int,
-        val atNanos: Long,
-    ) {
-        var inFlight = true
-        var outcome = DutyOutcome.UNKNOWN
-    }
-
-    private companion object {
-        /** Longer than the lease, so that a holder whose order was refused notices first that it has been replaced. */
-        val RETRY_AFTER_REFUSAL: Duration = Duration.ofMillis(3_500)
-
-        /** Limits an oscillating plan to one order per second for each service, failure domain and reclaimability. */
-        val MIN_CHANGE_INTERVAL: Duration = Duration.ofSeconds(1)
-
-        /** Longer than an upstream's start including its cold phase, and than the delay of an order that is carried out late. */
-        val RETRY_WHEN_MISSING: Duration = Duration.ofSeconds(8)
-    }
 }
