Serve waiting requests in order and end their wait in time

Cause: a new request was placed before those that waited; a waiting request that had already tried the only free upstream blocked all behind it; and the limit of the wait was checked only when capacity was offered, so that requests behind a blocked one waited until their deadline.

Change: a new request is queued before it is placed; the queue is walked until no upstream has capacity; each waiting request has its own timer. The order is decided in the core.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/WaitQueue.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/WaitQueue.kt
@@ -24,8 +24,14 @@
     /** Removes [request] and returns true if it was waiting. */
     public fun remove(request: T): Boolean = entries.removeIf { it.request === request }
 
-    /** Waiting requests in the order in which they are to be served. */
-    public fun snapshot(): List<T> = entries.map { it.request }
+    /**
+     * Offers capacity to the waiting requests in order, until none is left or no upstream has capacity. A new request is added before
+     * it is served, so that it does not pass those that wait ahead of it. [tryServe] may add and remove requests; one that it adds is
+     * not offered capacity in this call.
+     */
+    public fun drain(tryServe: (T) -> QueueStep) {
+        for (entry in entries.toList()) if (tryServe(entry.request) == QueueStep.SATURATED) return
+    }
 
     private class Entry<T>(
         val request: T,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/PlacementQueues.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/PlacementQueues.kt
@@ -15,6 +15,7 @@
 
     val waitingCount: Int get() = queues.values.sumOf { it.size }
 
+    /** Adds [run] and serves the queue, so that [run] is placed at once if no request ahead of it can be. */
     fun add(
         run: ProxiedRequest,
         service: String,
@@ -22,7 +23,8 @@
         deadlineNanos: Long,
     ) {
         queues.getOrPut(service) { WaitQueue() }.add(run, rank, deadlineNanos)
-        scheduleRetry()
+        retry(service)
+        if (waitingCount > 0) scheduleRetry()
     }
 
     fun remove(
@@ -32,10 +34,9 @@
         queues[service]?.remove(run)
     }
 
-    /** Tries to place the requests that wait for [service], in queue order, until one has to keep waiting. */
+    /** Tries to place the requests that wait for [service], in queue order. */
     fun retry(service: String) {
-        val queue = queues[service] ?: return
-        for (run in queue.snapshot()) if (!run.tryPlace()) return
+        queues[service]?.drain { it.tryPlace() }
     }
 
     fun retryAll(): Unit = queues.keys.toList().forEach(::retry)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -11,6 +11,7 @@
 import io.buckthornlever.core.serving.NextStep
 import io.buckthornlever.core.serving.Placement
 import io.buckthornlever.core.serving.PlacementQuery
+import io.buckthornlever.core.serving.QueueStep
 import io.buckthornlever.core.serving.RetryPolicy
 import io.buckthornlever.core.serving.StableHash
 import io.buckthornlever.gateway.connection.CallerExchange
@@ -94,25 +95,25 @@
         placeOrQueue(Duration.ofMillis((route.targetLatency.toMillis() * RequestLimits.QUEUE_TIME_SHARE).toLong()))
     }
 
-    /** Tries to place the request at an upstream; returns false if it has to keep waiting. */
-    fun tryPlace(): Boolean {
-        if (isFinished || !isWaiting) return true
+    /** Tries to place the request at an upstream, and refuses it once it has waited for too long. */
+    fun tryPlace(): QueueStep {
+        if (isFinished || !isWaiting) return QueueStep.DONE
         val now = now()
         if (account != null && !context.tableCache.allowsKeyedRequests(now)) {
             leaveQueue()
             giveUp("the table is not confirmed", RequestLimits.RETRY_AFTER_UNCONFIRMED)
-            return true
+            return QueueStep.DONE
         }
         val placement = context.balancer.choose(placementQuery(), now)
         if (placement is Placement.Chosen) {
             leaveQueue()
             send(Attempt(context, this, placement.upstream, head.requestId, head.promptTokens, route.kind == RequestKind.STREAM))
-            return true
+            return QueueStep.DONE
         }
-        if (now < queueDeadlineNanos) return false
+        if (now < queueDeadlineNanos) return if (triedUpstreams.isEmpty()) QueueStep.SATURATED else QueueStep.BLOCKED
         leaveQueue()
         giveUp(if (placement is Placement.Busy) "no upstream is free" else "no upstream is available", RequestLimits.RETRY_AFTER)
-        return true
+        return QueueStep.DONE
     }
 
     override fun onCallerDisconnected() {
@@ -271,7 +272,9 @@
         val now = now()
         queueDeadlineNanos = minOf(now + maxWait.toNanos(), deadlineNanos)
         isWaiting = true
-        if (!tryPlace()) context.queues.add(this, service, account?.priority ?: route.priority, deadlineNanos)
+        context.queues.add(this, service, account?.priority ?: route.priority, deadlineNanos)
+        // The queue alone notices the end of the wait only when capacity is offered to this request.
+        if (isWaiting) schedule(queueDeadlineNanos - now) { tryPlace() }
     }
 
     private fun leaveQueue() {
@@ -384,6 +387,8 @@
             "request" to head.requestId,
             "route" to route.name,
             "account" to account?.id,
+            "units" to account?.let { quotaCostOf(it, head).toLong() },
+            "quota" to account?.let { context.quotas.limitOf(it).toLong() },
             "upstream" to attempt?.entry?.upstream?.id,
             "sends" to sends,
             "proof" to proof,
