Read the recorded ceilings beside the allocation at the start

Change: the ceilings are read at the same time as the allocation; only an instance without ceilings of its own waits for it.

Not measured: the time to the first answer after a start.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -131,7 +131,11 @@
         loop.execute {
             peers.start(settings.peerAddress)
             feedWaits().forEach { (kind, wait) -> StateFeed(kind, wait, store, loop, clock, FeedListener(kind)).start() }
-            quotaAllocations.start { ceilingStore.start { releaseWaiting() } }
+            quotaAllocations.start {
+                ceilingStore.onAllocationRead()
+                releaseWaiting()
+            }
+            ceilingStore.start { releaseWaiting() }
             register()
             tick()
             loop.schedule(log::open, LOG_OPEN_DELAY_MILLIS, TimeUnit.MILLISECONDS)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaCeilingStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaCeilingStore.kt
@@ -36,6 +36,8 @@
     private var revision: Long? = null
     private var isRead = false
     private var isCalling = false
+    private var isAllocationRead = false
+    private var awaitsAllocation = false
     private var failedAt = Long.MIN_VALUE / 2
     private var onSettled: (() -> Unit)? = null
 
@@ -49,6 +51,14 @@
         update()
     }
 
+    /** Called once the first read of the allocation has ended. */
+    fun onAllocationRead() {
+        isAllocationRead = true
+        if (!awaitsAllocation) return
+        awaitsAllocation = false
+        onAbsent()
+    }
+
     /** Requests a ceiling under which [cost] units more can be charged to this instance's shares of [account]. */
     fun raise(
         account: ServedAccount,
@@ -61,7 +71,7 @@
     /** Writes the ceilings that are due, after reading them again if the result of an earlier call is not known. */
     fun update() {
         val now = clock.monotonicNanos()
-        if (isCalling || now - failedAt < RETRY_INTERVAL.toNanos()) return
+        if (isCalling || awaitsAllocation || now - failedAt < RETRY_INTERVAL.toNanos()) return
         if (!isRead) return read()
         val next = ceilings.next(now) { account -> findAccount(account)?.let { limiter.usedFraction(it, now) } ?: 0.0 } ?: return
         write(next)
@@ -85,14 +95,22 @@
     }
 
     private fun onAbsent() {
-        // Holders of earlier releases keep to the ceilings of the allocation.
-        val inherited = limiter.holdings?.accounts.orEmpty().mapValues { it.value.ceiling }
+        if (!isAllocationRead && !firstStart) {
+            awaitsAllocation = true
+            return
+        }
         isRead = true
         revision = null
-        ceilings.onRead(if (firstStart) RecordedCeilings(0.0) else RecordedCeilings(QuotaCeilings.INITIAL, inherited))
+        ceilings.onRead(if (firstStart) RecordedCeilings(0.0) else inheritedCeilings())
         update()
     }
 
+    /** Holders of earlier releases recorded nothing of their own, but kept to the ceilings of the allocation. */
+    private fun inheritedCeilings(): RecordedCeilings {
+        val holdings = limiter.holdings ?: return RecordedCeilings(1.0)
+        return RecordedCeilings(QuotaCeilings.INITIAL, holdings.accounts.mapValues { it.value.ceiling })
+    }
+
     private fun write(next: RecordedCeilings) {
         isCalling = true
         ceilings.onWriteStarted(next)
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
@@ -1,18 +1,8 @@
 package io.buckthornlever.gateway.process
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
-import com.github.michaelbull.result.Result
 import io.buckthornlever.api.process.AccountId
 import io.buckthornlever.api.serving.DutyOutcome
 import io.buckthornlever.api.serving.SingletonDuties
-import io.buckthornlever.api.serving.StateChanges
-import io.buckthornlever.api.serving.StateFailure
-import io.buckthornlever.api.serving.StateKind
-import io.buckthornlever.api.serving.StateObject
-import io.buckthornlever.api.serving.StatePage
-import io.buckthornlever.api.serving.StateStore
-import io.buckthornlever.api.serving.StateValue
 import io.buckthornlever.api.serving.UpstreamOrder
 import io.buckthornlever.api.serving.UsageWindow
 import io.buckthornlever.core.process.ManualClock
@@ -85,64 +75,6 @@
     }
 
     /** Calls back before returning, unlike a real store; [DutyRunner] does not depend on either order. */
-    private class InMemoryStore : StateStore {
-        private val objects = HashMap<Pair<StateKind, String>, StateObject>()
-        private var revision = 0L
-        var reads = 0
-
-        override fun list(
-            kind: StateKind,
-            after: String?,
-            stale: Boolean,
-            done: (Result<StatePage, StateFailure>) -> Unit,
-        ) = error("not used")
-
-        override fun watch(
-            kind: StateKind,
-            since: Long,
-            wait: Duration,
-            done: (Result<StateChanges, StateFailure>) -> Unit,
-        ) = error("not used")
-
-        override fun read(
-            kind: StateKind,
-            name: String,
-            done: (Result<StateObject, StateFailure>) -> Unit,
-        ) {
-            if (kind == StateKind.LEASES) reads++
-            done(objects[kind to name]?.let { Ok(it) } ?: Err(StateFailure.NotFound))
-        }
-
-        override fun create(
-            kind: StateKind,
-            name: String,
-            value: StateValue,
-            done: (Result<StateObject, StateFailure>) -> Unit,
-        ) = done(if (kind to name in objects) Err(StateFailure.Conflict(null)) else Ok(put(kind, name, value)))
-
-        override fun replace(
-            kind: StateKind,
-            name: String,
-            expected: Long?,
-            value: StateValue,
-            done: (Result<StateObject, StateFailure>) -> Unit,
-        ) = done(
-            if (objects[kind to name]?.revision == expected) Ok(put(kind, name, value)) else Err(StateFailure.Conflict(null)),
-        )
-
-        override fun delete(
-            kind: StateKind,
-            name: String,
-            done: (Result<Unit, StateFailure>) -> Unit,
-        ) = error("not used")
-
-        private fun put(
-            kind: StateKind,
-            name: String,
-            value: StateValue,
-        ): StateObject = StateObject(name, ++revision, value).also { objects[kind to name] = it }
-    }
-
     private companion object {
         val WINDOW: Duration = Duration.ofSeconds(5)
         val ACCOUNT = AccountId("a")
--- /dev/null
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/InMemoryStore.kt
@@ -0,0 +1,100 @@
+package io.buckthornlever.gateway.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.buckthornlever.api.serving.StateChanges
+import io.buckthornlever.api.serving.StateFailure
+import io.buckthornlever.api.serving.StateKind
+import io.buckthornlever.api.serving.StateObject
+import io.buckthornlever.api.serving.StatePage
+import io.buckthornlever.api.serving.StateStore
+import io.buckthornlever.api.serving.StateValue
+import java.time.Duration
+
+/** Store in memory whose calls end at once; the answers of writes can be lost and calls refused. */
+internal class InMemoryStore : StateStore {
+    private val objects = HashMap<Pair<StateKind, String>, StateObject>()
+    private var revision = 0L
+    var reads = 0
+
+    /** Refuses every call. */
+    var isRefusing = false
+
+    /** Carries out writes without answering them. */
+    var losesAnswers = false
+
+    /** Content of the object [name], null if there is none. */
+    fun valueOf(
+        kind: StateKind,
+        name: String,
+    ): StateValue? = objects[kind to name]?.value
+
+    override fun list(
+        kind: StateKind,
+        after: String?,
+        stale: Boolean,
+        done: (Result<StatePage, StateFailure>) -> Unit,
+    ) = error("not used")
+
+    override fun watch(
+        kind: StateKind,
+        since: Long,
+        wait: Duration,
+        done: (Result<StateChanges, StateFailure>) -> Unit,
+    ) = error("not used")
+
+    override fun read(
+        kind: StateKind,
+        name: String,
+        done: (Result<StateObject, StateFailure>) -> Unit,
+    ) {
+        if (kind == StateKind.LEASES) reads++
+        if (isRefusing) return done(REFUSED)
+        done(objects[kind to name]?.let { Ok(it) } ?: Err(StateFailure.NotFound))
+    }
+
+    override fun create(
+        kind: StateKind,
+        name: String,
+        value: StateValue,
+        done: (Result<StateObject, StateFailure>) -> Unit,
+    ) = write(kind to name in objects, kind, name, value, done)
+
+    override fun replace(
+        kind: StateKind,
+        name: String,
+        expected: Long?,
+        value: StateValue,
+        done: (Result<StateObject, StateFailure>) -> Unit,
+    ) = write(objects[kind to name]?.revision != expected, kind, name, value, done)
+
+    override fun delete(
+        kind: StateKind,
+        name: String,
+        done: (Result<Unit, StateFailure>) -> Unit,
+    ) = error("not used")
+
+    private fun write(
+        isConflict: Boolean,
+        kind: StateKind,
+        name: String,
+        value: StateValue,
+        done: (Result<StateObject, StateFailure>) -> Unit,
+    ) {
+        if (isRefusing) return done(REFUSED)
+        if (isConflict) return done(Err(StateFailure.Conflict(null)))
+        val written = put(kind, name, value)
+        done(if (losesAnswers) Err(StateFailure.Unknown("no answer")) else Ok(written))
+    }
+
+    private fun put(
+        kind: StateKind,
+        name: String,
+        value: StateValue,
+    ): StateObject = StateObject(name, ++revision, value).also { objects[kind to name] = it }
+
+    private companion object {
+        val REFUSED = Err(StateFailure.Refused("HTTP status 503"))
+    }
+}
