Keep the ceilings of accounts whose usage is above the initial one or unknown

Cause, found on reading: after two windows without a raise the ceilings of all accounts without an entry of their own went back to the initial one, also when this process had granted more of them under a raised default; and an account whose shares were unconfirmed, as after a pause, counted as unused. A process that started then could have granted the difference again.

Change: all accounts of which anything was granted in the window are looked at, and one with an unknown fraction keeps its ceiling.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/LocalQuotaLimiter.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/LocalQuotaLimiter.kt
@@ -92,11 +92,15 @@
         if (fraction <= ceilings.grantableWhenRaised(account.id, nanos)) ceilings.raise(account.id, fraction, nanos)
     }
 
-    /** Fraction of its shares of [account] that this instance has granted in the window that ends at [nanos], 0 without shares. */
-    public fun usedFraction(
-        account: ServedAccount,
+    /**
+     * Fractions of its shares that this instance has granted in the window that ends at [nanos], for all accounts that it has granted
+     * anything of. The fraction is 1 while it is not known, for example until the allocation has been confirmed after a pause.
+     */
+    public fun usedFractions(
+        findAccount: (AccountId) -> ServedAccount?,
         nanos: Long,
-    ): Double = usedFraction(account, 0.0, nanos) ?: 0.0
+    ): Map<AccountId, Double> =
+        usage.filterValues { it.sum(nanos) > 0 }.mapValues { (id, _) -> findAccount(id)?.let { usedFraction(it, 0.0, nanos) } ?: 1.0 }
 
     /** Units of [account] that all instances together may grant in one window. */
     public fun limitOf(account: ServedAccount): Double = bounds.limit(account)
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaCeilings.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaCeilings.kt
@@ -86,11 +86,12 @@
     /**
      * Returns the ceilings that should be written now, or null when the recorded ones are right.
      *
-     * @param usage fraction of its shares of an account that this process has granted in the window that ends at [nanos]
+     * @param usage fractions of its shares that this process has granted in the window that ends at [nanos], for all accounts of which it
+     *   may have granted anything
      */
     public fun next(
         nanos: Long,
-        usage: (AccountId) -> Double,
+        usage: () -> Map<AccountId, Double>,
     ): RecordedCeilings? {
         val before = previous ?: return null
         val current = recorded ?: return firstClaim(before)
@@ -101,7 +102,8 @@
         if (nanos - maxOf(raisedAt, startNanos) <= LOWERING_WINDOWS * window.toNanos()) {
             return current.copy(accounts = accounts).takeIf { it != current }
         }
-        val needed = accounts.filterKeys { usage(it) > INITIAL }
+        if (accounts.isEmpty() && current == BASE) return null
+        val needed = usage().filterValues { it > INITIAL }.mapValues { (account, _) -> accounts[account] ?: current.default }
         return RecordedCeilings(INITIAL, needed).takeIf { it != current }
     }
 
@@ -133,5 +135,7 @@
 
         /** Windows without a raise after which ceilings are lowered; a large request needs a raise every few seconds. */
         private const val LOWERING_WINDOWS = 2
+
+        private val BASE = RecordedCeilings(INITIAL)
     }
 }
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/LocalQuotaLimiterTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/LocalQuotaLimiterTest.kt
@@ -51,7 +51,7 @@
         assertEquals(40.0, spend(limiter, 0))
         assertEquals(QuotaCharge.AboveCeiling, limiter.charge(account, 1.0, 0))
         limiter.requestRaise(account, 30.0, 0)
-        val raised = assertNotNull(ceilings.next(0) { limiter.usedFraction(account, 0) })
+        val raised = assertNotNull(ceilings.next(0) { limiter.usedFractions({ account }, 0) })
         ceilings.onWriteStarted(raised)
         assertEquals(QuotaCharge.AboveCeiling, limiter.charge(account, 1.0, 0))
         ceilings.onWritten(raised)
@@ -60,12 +60,22 @@
         assertEquals(QuotaCharge.Exhausted, limiter.charge(account, 11.0, 0))
     }
 
+    @Test
+    fun `the used fraction counts as unknown until the allocation is confirmed after a pause`() {
+        val limiter = held(allocation("i"))
+        limiter.charge(account, 20.0, 0)
+        assertEquals(mapOf(account.id to 0.25), limiter.usedFractions({ account }, seconds(1)))
+        limiter.onPause(seconds(2))
+        assertEquals(mapOf(account.id to 1.0), limiter.usedFractions({ account }, seconds(2)))
+        assertEquals(emptyMap(), limiter.usedFractions({ account }, seconds(9)))
+    }
+
     @Test
     fun `a request that no ceiling allows raises none`() {
         val ceilings = recordedCeilings(0.5)
         val limiter = held(allocation("i"), ceilings)
         limiter.requestRaise(account, 81.0, 0)
-        assertNull(ceilings.next(0) { 0.0 })
+        assertNull(ceilings.next(0) { emptyMap() })
     }
 
     @Test
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/QuotaCeilingsTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/QuotaCeilingsTest.kt
@@ -11,7 +11,7 @@
 class QuotaCeilingsTest {
     private val account = AccountId("a")
     private val window = Duration.ofSeconds(8)
-    private var usage = 0.0
+    private var usage = emptyMap<AccountId, Double>()
 
     @Test
     fun `nothing is granted before a ceiling of this process is recorded`() {
@@ -62,17 +62,24 @@
     @Test
     fun `a ceiling is lowered once the usage of two windows stayed below it`() {
         val ceilings = restartedAfter(0.9)
-        usage = 0.4
+        usage = mapOf(account to 0.4)
         assertNull(next(ceilings, seconds(16)))
         assertEquals(RecordedCeilings(0.5), next(ceilings, seconds(17)))
     }
 
+    @Test
+    fun `the default ceiling stays in force for an account that uses more than the initial one`() {
+        val ceilings = restartedAfter(0.5)
+        usage = mapOf(account to 0.7)
+        assertEquals(RecordedCeilings(0.5, mapOf(account to 0.75)), next(ceilings, seconds(17)))
+    }
+
     @Test
     fun `the ceiling of an account that needs it is kept`() {
         val ceilings = restartedAfter(0.5)
         ceilings.raise(account, 0.6, seconds(9))
         ceilings.onWritten(assertNotNull(next(ceilings, seconds(9))))
-        usage = 0.6
+        usage = mapOf(account to 0.6)
         assertEquals(RecordedCeilings(0.5, mapOf(account to 1.0)), next(ceilings, seconds(30)))
     }
 
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/QuotaSimulation.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/QuotaSimulation.kt
@@ -82,7 +82,7 @@
         nanos: Long,
     ) {
         val own = ceilings.getValue(name)
-        val next = own.next(nanos) { limiters.getValue(name).usedFraction(account, nanos) } ?: return
+        val next = own.next(nanos) { limiters.getValue(name).usedFractions({ account }, nanos) } ?: return
         storedCeilings[name] = next
         own.onWritten(next)
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaCeilingStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaCeilingStore.kt
@@ -73,7 +73,7 @@
         val now = clock.monotonicNanos()
         if (isCalling || awaitsAllocation || now - failedAt < RETRY_INTERVAL.toNanos()) return
         if (!isRead) return read()
-        val next = ceilings.next(now) { account -> findAccount(account)?.let { limiter.usedFraction(it, now) } ?: 0.0 } ?: return
+        val next = ceilings.next(now) { limiter.usedFractions(findAccount, now) } ?: return
         write(next)
     }
 
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/QuotaChargerTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/QuotaChargerTest.kt
@@ -119,7 +119,7 @@
         val now = SystemClock.monotonicNanos()
         limiter.requestRaise(account, cost, now)
         val own = ceilings.getValue(name)
-        own.next(now) { limiter.usedFraction(account, now) }?.let(own::onWritten)
+        own.next(now) { limiter.usedFractions({ account }, now) }?.let(own::onWritten)
     }
 
     private fun send(
