Confirm the quota allocation at once after a pause, and see no pause at a slow start

A pause makes the allocation of quotas unconfirmed, and nothing was granted until the next answer of the feed, up to 6 s later.

Change: both clocks are read together, and the allocation is read from the store after each pause.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -115,7 +115,7 @@
     private val dutyRunner = DutyRunner(settings.instance, clock, store, duties, usageLedger, settings.usageWindow, settings.leaseTtl, log)
     private val orderSender =
         UpstreamOrderSender(settings.instance, settings.domains, clock, duties, balancer, demand, log, dutyRunner::onSuperseded)
-    private val pauseDetector = PauseDetector(clock.monotonicNanos(), incarnation)
+    private val pauseDetector = PauseDetector(clock.monotonicNanos(), clock.now().toEpochMilli())
     private val evacuatedDomains = HashSet<FailureDomain>()
     private var liveInstances: Set<String>? = null
     private var storeUnavailable = false
@@ -131,7 +131,7 @@
         loop.execute {
             peers.start(settings.peerAddress)
             feedWaits().forEach { (kind, wait) -> StateFeed(kind, wait, store, loop, clock, FeedListener(kind)).start() }
-            quotaAllocations.start {
+            quotaAllocations.read {
                 ceilingStore.onAllocationRead()
                 releaseWaiting()
             }
@@ -224,6 +224,7 @@
         tableCache.onPause(now)
         localQuotaLimiter.onPause(now)
         relayLogs.values.forEach { it.onPause(now) }
+        quotaAllocations.read(::releaseWaiting)
         log.write(GatewayEvent.PAUSE_DETECTED, "millis" to paused.toMillis())
     }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaAllocationStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaAllocationStore.kt
@@ -41,14 +41,17 @@
     private var isWriting = false
     private var plannedAt = Long.MIN_VALUE / 2
 
-    /** Reads the allocation directly from the store, since a relay's copy may be older than this process. Calls [onKnown] when done. */
-    fun start(onKnown: () -> Unit) {
+    /**
+     * Reads the allocation directly from the store at the start of this process and after a pause, since a relay's copy may be older
+     * and the next answer of the feed seconds away. Calls [onEnded] when done.
+     */
+    fun read(onEnded: () -> Unit) {
         val sentNanos = clock.monotonicNanos()
         store.read(StateKind.QUOTA_HOLDINGS, OBJECT_NAME) { result ->
             result.onSuccess { found -> (found.value as? StateValue.Quota)?.let { update(found.revision, it.holdings) } }
             // After any other failure the feed delivers the allocation.
             if (result.isOk || result.getError() == StateFailure.NotFound) onConfirmed(sentNanos)
-            onKnown()
+            onEnded()
         }
     }
 
