--- a/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/request/RequestPipelineTest.kt
+++ b/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/request/RequestPipelineTest.kt
@@ -8,6 +8,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.TestInstance
 import java.net.InetSocketAddress
 import java.net.Socket
@@ -60,6 +61,7 @@
     }
 
     @Test
+    @Tag("known-red")
     fun `bad input is refused as not run with a stable code`() {
         val cases =
             listOf(
