Log the prompt parts and the output of attempts that end, and unreadable datagrams

The log could not tell the hypotheses of the incident apart: it names neither the prompt parts of the runs that break at the crash of an upstream nor whether a run had any output before.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AttemptEnd.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/AttemptEnd.kt
@@ -12,9 +12,14 @@
         override val proof: ExecutionProof get() = ExecutionProof.NOT_RUN
     }
 
-    /** The connection was closed, timed out or carried bytes that are not a valid response. */
+    /**
+     * The connection was closed, timed out or carried bytes that are not a valid response.
+     *
+     * @property isConnectionLost true if the upstream's end of the connection closed or reset, as in a crash
+     */
     public data class Broken(
         val reason: String,
+        val isConnectionLost: Boolean = false,
     ) : AttemptEnd {
         override val proof: ExecutionProof get() = ExecutionProof.MAY_HAVE_RUN
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ExchangeListener.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ExchangeListener.kt
@@ -13,6 +13,9 @@
     /** The response is complete. */
     public fun onCompleted()
 
-    /** No complete response will arrive, for the given [reason]. */
-    public fun onBroken(reason: String)
+    /** No complete response will arrive, for the given [reason]; [isConnectionLost] is true if the server's end closed or reset. */
+    public fun onBroken(
+        reason: String,
+        isConnectionLost: Boolean,
+    )
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
@@ -94,7 +94,10 @@
 
         override fun onCompleted() = finish(Ok(HttpCallResponse(status, body.toByteArray())))
 
-        override fun onBroken(reason: String) = finish(Err(HttpCallFailure(reason, true)))
+        override fun onBroken(
+            reason: String,
+            isConnectionLost: Boolean,
+        ) = finish(Err(HttpCallFailure(reason, true)))
 
         fun finish(result: Result<HttpCallResponse, HttpCallFailure>) {
             if (finished) return
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 import java.time.Duration
 
 /**
@@ -66,7 +67,7 @@
         skippedBytes = 0
         interimResponses = 0
         channel.writeAndFlush(request).addListener { result ->
-            if (result.isSuccess) isRequestWritten = true else fail("request could not be written: ${result.cause()?.message}")
+            if (result.isSuccess) isRequestWritten = true else fail("request could not be written: ${result.cause()?.message}", true)
         }
     }
 
@@ -103,9 +104,10 @@
     override fun exceptionCaught(
         context: ChannelHandlerContext,
         cause: Throwable,
-    ): Unit = fail(cause.message ?: cause.javaClass.simpleName)
+    ): Unit = fail(cause.message ?: cause.javaClass.simpleName, isConnectionLost = cause is IOException)
 
-    override fun channelInactive(context: ChannelHandlerContext): Unit = fail("connection closed by the server")
+    override fun channelInactive(context: ChannelHandlerContext): Unit =
+        fail("connection closed by the server", isConnectionLost = true)
 
     private fun handleHead(response: HttpResponse) {
         if (response.status().code() < FIRST_FINAL_STATUS) {
@@ -141,11 +143,14 @@
         completed.onCompleted()
     }
 
-    private fun fail(reason: String) {
+    private fun fail(
+        reason: String,
+        isConnectionLost: Boolean = false,
+    ) {
         val pending = listener
         listener = null
         channel.close()
-        pending?.onBroken(reason)
+        pending?.onBroken(reason, isConnectionLost)
     }
 
     private fun keepAliveTimeoutOf(response: HttpResponse): Duration? =
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -62,7 +62,7 @@
     private val demand = DemandMeter()
     private val metrics = GatewayMetrics()
     private val pool = ConnectionPool(loop, clock, UPSTREAM_CONNECT_TIMEOUT)
-    private val peers = PeerExchange(loop, clock, settings.instance, GatewayInstance())
+    private val peers = PeerExchange(loop, clock, settings.instance, GatewayInstance(), log)
     private val quotaCharger =
         QuotaCharger(
             settings.instance,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
@@ -34,6 +34,7 @@
     private val clock: Clock,
     private val self: String,
     private val localInstance: LocalInstance,
+    private val log: EventLog,
 ) {
     private val addresses = HashMap<String, InetSocketAddress>()
     private val records = HashMap<String, InstanceRecord>()
@@ -43,6 +44,7 @@
     private var overviewReceivedAt = Long.MIN_VALUE / 2
     private var overviewSentAt = Long.MIN_VALUE / 2
     private var hasReported = false
+    private var unreadableLoggedAt = Long.MIN_VALUE / 2
     private var channel: Channel? = null
 
     /** Interval between two state messages of an instance. */
@@ -146,12 +148,12 @@
             val message =
                 try {
                     Cbor.decodeFromByteArray(PeerMessage.serializer(), ByteBufUtil.getBytes(packet.content()))
-                } catch (_: SerializationException) {
+                } catch (e: SerializationException) {
                     // Ignores datagrams of other programs or incompatible releases.
-                    return
-                } catch (_: IllegalArgumentException) {
+                    return logUnreadable(packet, e)
+                } catch (e: IllegalArgumentException) {
                     // The decoder throws this for some malformed lengths and numbers.
-                    return
+                    return logUnreadable(packet, e)
                 }
             if (message.sender == self || message.sender !in addresses) return
             liveInstances.onHeard(message.sender, clock.monotonicNanos())
@@ -159,6 +161,23 @@
         }
     }
 
+    private fun logUnreadable(
+        packet: DatagramPacket,
+        cause: Exception,
+    ) {
+        val now = clock.monotonicNanos()
+        if (now - unreadableLoggedAt < UNREADABLE_LOG_INTERVAL.toNanos()) return
+        unreadableLoggedAt = now
+        val content = packet.content()
+        log.write(
+            GatewayEvent.DATAGRAM_IGNORED,
+            "from" to packet.sender(),
+            "bytes" to content.readableBytes(),
+            "limit" to content.capacity(),
+            "cause" to cause.message,
+        )
+    }
+
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
 
@@ -171,6 +190,9 @@
         /** Shorter than the time for which instances rely on an announcement that another one holds the lease. */
         val MAX_OVERVIEW_INTERVAL: Duration = Duration.ofMillis(700)
 
+        /** Anyone can send datagrams, so the log gets at most one line for them in this time. */
+        val UNREADABLE_LOG_INTERVAL: Duration = Duration.ofSeconds(1)
+
         /** Silence of the lease holder after which an instance stops sending its state, until it hears from a holder again. */
         const val HOLDER_SILENCE_NANOS = 5_000_000_000L
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -48,6 +48,10 @@
     var sentMillis: Long = 0
         private set
 
+    /** True once the upstream has sent part of the output: the body of a stream, or the head of another response. */
+    var hasOutput: Boolean = false
+        private set
+
     /** True once the request has been handed to a connection. */
     val wasSent: Boolean get() = connection != null
 
@@ -104,6 +108,7 @@
             isRelayingStream = true
             listener.onStreamHead(this, response)
         } else {
+            hasOutput = true
             listener.onExecutionStarted(this)
         }
         return HeadDecision.ACCEPT
@@ -112,7 +117,8 @@
     override fun onData(bytes: ByteArray) {
         if (isFinished) return
         if (!isRelayingStream) return bufferBody(bytes)
-        if (!promptTokensReleased) {
+        if (!hasOutput) {
+            hasOutput = true
             releasePromptTokens()
             listener.onExecutionStarted(this)
         }
@@ -171,8 +177,11 @@
         }
     }
 
-    override fun onBroken(reason: String) {
-        if (!isFinished) fail(AttemptEnd.Broken(reason), true)
+    override fun onBroken(
+        reason: String,
+        isConnectionLost: Boolean,
+    ) {
+        if (!isFinished) fail(AttemptEnd.Broken(reason, isConnectionLost), true)
     }
 
     private fun hasProofOfOrigin(
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/CallerRequestHead.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/CallerRequestHead.kt
@@ -21,4 +21,7 @@
     val promptTokens: Int,
     val maxOutputTokens: Int,
     val lastEventId: Long?,
-)
+) {
+    /** Parts of the prompt that other requests may share: all but the last. */
+    val sharedParts: List<PromptPart> get() = promptParts.dropLast(1)
+}
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -216,6 +216,8 @@
             "upstream" to attempt.entry.upstream.id,
             "end" to end,
             "proof" to proof,
+            "output" to attempt.hasOutput,
+            "sharedParts" to head.sharedParts.joinToString(",") { it.id.toULong().toString(HEX_RADIX) }.ifEmpty { null },
             "next" to next,
         )
         perform(next, failure)
@@ -255,7 +257,7 @@
             context.retryBudget.tryAcquire(service, now())
 
     private fun placementQuery(): PlacementQuery {
-        val shared = head.promptParts.dropLast(1).ifEmpty { head.promptParts }
+        val shared = head.sharedParts.ifEmpty { head.promptParts }
         return PlacementQuery(
             service,
             shared.map {
@@ -411,6 +413,7 @@
 
     internal companion object {
         private const val NANOS_PER_MILLI = 1_000_000L
+        private const val HEX_RADIX = 16
 
         /** Largest event that is buffered until it is complete; events of token streams have some hundred bytes. */
         private const val MAX_EVENT_BYTES = 64 * 1_024
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/OutboundConnectionTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/OutboundConnectionTest.kt
@@ -125,7 +125,10 @@
             events.add("ended")
         }
 
-        override fun onBroken(reason: String) {
+        override fun onBroken(
+            reason: String,
+            isConnectionLost: Boolean,
+        ) {
             events.add("broken")
         }
 
