Reject truncated datagrams before they are decoded, and receive whole ones

Thread dumps show the event loop in the CBOR decoder, in the map of broken runs of the lease holder's overview.

Cause: the overview holds the broken runs of all instances, up to 64 each. With more than some 200 of them it is larger than the 2,048 bytes that Netty reads of a datagram by default; the rest was cut. The CBOR library fails with an IllegalStateException that nobody caught on most cuts, and never returns on others. Anyone who can send a datagram could stop an instance.

Messages of the peer module are authenticated before they are decoded and are not affected.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PoisonRequestTracker.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PoisonRequestTracker.kt
@@ -39,11 +39,22 @@
         peerCounts[peer] = counts
     }
 
-    /** Returns the counts by instance, those of this instance under [self]; instances without counts are left out. */
+    /**
+     * Returns the counts by instance, those of this instance under [self]; instances without counts are left out. Of more than
+     * [MAX_SHARED] counts, those of the fingerprints with the most broken runs are returned.
+     */
     public fun countsByInstance(
         self: String,
         nanos: Long,
-    ): Map<String, Map<Long, Int>> = (peerCounts + (self to counts(nanos))).filterValues { it.isNotEmpty() }
+    ): Map<String, Map<Long, Int>> {
+        val all = (peerCounts + (self to counts(nanos))).flatMap { (instance, counts) -> counts.map { Triple(instance, it.key, it.value) } }
+        val totals = all.groupingBy { it.second }.fold(0) { sum, entry -> sum + entry.third }
+        return all
+            .sortedByDescending { totals.getValue(it.second) }
+            .take(MAX_SHARED)
+            .groupBy({ it.first }, { it.second to it.third })
+            .mapValues { it.value.toMap() }
+    }
 
     /** Replaces the counts of all peers. */
     public fun replacePeers(counts: Map<String, Map<Long, Int>>) {
@@ -60,9 +71,12 @@
         /** Broken runs after which the request counts as their cause. */
         public const val MAX_BROKEN_RUNS: Int = 2
 
-        /** Fingerprints kept, so that one datagram holds them all. */
+        /** Fingerprints of broken runs on this instance. */
         private const val MAX_FINGERPRINTS = 64
 
+        /** Counts of all instances that fit into one datagram, at some ten bytes each. */
+        private const val MAX_SHARED = 1_024
+
         /** Time after which a blocked fingerprint may run again; callers resend a request only within their time limit. */
         private val RETENTION: Duration = Duration.ofSeconds(60)
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -36,6 +36,7 @@
     QUOTAS_NOT_DIVIDED("BL-2406", Level.WARN, "division of quotas could not be written"),
     QUOTA_CEILINGS_NOT_RECORDED("BL-2407", Level.WARN, "ceilings of quota shares could not be recorded"),
     DATAGRAM_IGNORED("BL-2408", Level.WARN, "datagram of another instance cannot be read and is ignored"),
+    DATAGRAM_TOO_LARGE("BL-2409", Level.WARN, "datagram is larger than UDP carries and is not delivered"),
     USAGE_REPORTED("BL-2501", Level.INFO, "usage of a window reported"),
     UPSTREAMS_ORDERED("BL-2502", Level.INFO, "upstreams ordered"),
     INTERNAL_ERROR("BL-2901", Level.ERROR, "unexpected error"),
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.gateway.process
 
+import com.github.michaelbull.result.getOrElse
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.serving.InstanceRecord
 import io.buckthornlever.core.serving.LeaseCandidates
@@ -13,12 +14,10 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
 import java.net.InetSocketAddress
 import java.time.Duration
 import java.util.concurrent.TimeUnit
@@ -28,7 +27,6 @@
  * sends an overview to all instances, so that the traffic of an ordinary instance does not grow with the size of the site. The
  * holder's incoming traffic is bounded by an interval that grows with the number of instances.
  */
-@OptIn(ExperimentalSerializationApi::class)
 internal class PeerExchange(
     private val loop: EventLoop,
     private val clock: Clock,
@@ -59,6 +57,8 @@
                 .group(loop)
                 .channel(NioDatagramChannel::class.java)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator(false))
+                // Netty reads 2,048 bytes of a datagram by default and drops the rest.
+                .option(ChannelOption.RCVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
                 .handler(Receiver())
                 .bind(address.host, address.port)
         bound.addListener { if (it.isSuccess) channel = bound.channel() }
@@ -125,7 +125,13 @@
         loop.schedule({ sendPeriodically() }, nextInterval.toMillis(), TimeUnit.MILLISECONDS)
     }
 
-    private fun encode(message: PeerMessage): ByteArray = Cbor.encodeToByteArray(PeerMessage.serializer(), message)
+    private fun encode(message: PeerMessage): ByteArray {
+        val bytes = CborCodec.encode(PeerMessage.serializer(), message)
+        if (bytes.size > MAX_DATAGRAM_BYTES) {
+            log.write(GatewayEvent.DATAGRAM_TOO_LARGE, "type" to message::class.simpleName, "bytes" to bytes.size)
+        }
+        return bytes
+    }
 
     private fun onOverview(overview: PeerMessage.Overview) {
         if (overview.fencing < overviewFencing) return
@@ -146,14 +152,8 @@
             packet: DatagramPacket,
         ) {
             val message =
-                try {
-                    Cbor.decodeFromByteArray(PeerMessage.serializer(), ByteBufUtil.getBytes(packet.content()))
-                } catch (e: SerializationException) {
-                    // Ignores datagrams of other programs or incompatible releases.
-                    return logUnreadable(packet, e)
-                } catch (e: IllegalArgumentException) {
-                    // The decoder throws this for some malformed lengths and numbers.
-                    return logUnreadable(packet, e)
+                CborCodec.decode(PeerMessage.serializer(), ByteBufUtil.getBytes(packet.content())).getOrElse {
+                    return logUnreadable(packet, it)
                 }
             if (message.sender == self || message.sender !in addresses) return
             liveInstances.onHeard(message.sender, clock.monotonicNanos())
@@ -163,7 +163,7 @@
 
     private fun logUnreadable(
         packet: DatagramPacket,
-        cause: Exception,
+        cause: String,
     ) {
         val now = clock.monotonicNanos()
         if (now - unreadableLoggedAt < UNREADABLE_LOG_INTERVAL.toNanos()) return
@@ -174,13 +174,16 @@
             "from" to packet.sender(),
             "bytes" to content.readableBytes(),
             "limit" to content.capacity(),
-            "cause" to cause.message,
+            "cause" to cause,
         )
     }
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
 
+        /** Largest payload of a UDP datagram over IPv4. */
+        const val MAX_DATAGRAM_BYTES = 65_507
+
         /** Short enough for the lease holder to act on demand and usage in time. */
         const val MIN_INTERVAL_MILLIS = 250L
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayService.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayService.kt
@@ -13,8 +13,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.QueryStringDecoder
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.cbor.Cbor
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
@@ -24,7 +22,6 @@
  *
  * @param checkPause called on the arrival of each request, so that a suspension of the host is detected before stale state is served
  */
-@OptIn(ExperimentalSerializationApi::class)
 internal class RelayService(
     private val loop: EventLoop,
     private val clock: Clock,
@@ -86,7 +83,7 @@
             when (logReply) {
                 is RelayReply.Changes -> {
                     val response = RelayResponse(logReply.changes, logReply.revision, logReply.asOfNanos - arrivedNanos)
-                    val body = Cbor.encodeToByteArray(RelayResponse.serializer(), response)
+                    val body = CborCodec.encode(RelayResponse.serializer(), response)
                     reply.respond(HttpResponseStatus.OK, DefaultHttpHeaders(), body)
                 }
                 RelayReply.HistoryGone -> reply.respond(HttpResponseStatus.GONE, DefaultHttpHeaders(), EMPTY)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.buckthornlever.api.process.Clock
@@ -19,9 +20,6 @@
 import io.buckthornlever.gateway.connection.ServerAddress
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpMethod
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
 import java.time.Duration
 
 /**
@@ -31,7 +29,6 @@
  *
  * @param members other live instances
  */
-@OptIn(ExperimentalSerializationApi::class)
 internal class RelayedStore(
     private val direct: StateStore,
     self: InstanceRecord,
@@ -154,13 +151,9 @@
         sent: Long,
     ): RelayResult? {
         if (httpResult.status != OK) return null
-        return try {
-            val response = Cbor.decodeFromByteArray(RelayResponse.serializer(), httpResult.body)
-            RelayResult(response, minOf(sent + response.asOfOffsetNanos, clock.monotonicNanos()))
-        } catch (_: SerializationException) {
-            // The relay runs an incompatible release; the caller logs a relay failure and falls back to the store.
-            null
-        }
+        // Without a response that can be read, the caller logs a relay failure and falls back to the store.
+        val response = CborCodec.decode(RelayResponse.serializer(), httpResult.body).getOrElse { return null }
+        return RelayResult(response, minOf(sent + response.asOfOffsetNanos, clock.monotonicNanos()))
     }
 
     private fun logRelayFailure(
