Block prompt parts whose runs crash upstreams

Cause: a crash was attributed to the whole content of a request, by a hash of account, path and body. The part of a prompt that crashes an upstream comes with a new body each time, so no count ever reached the limit, and each request with it was sent on to a second upstream as well. The class of fault: the key under which evidence is collected is finer than its cause.

Change: PoisonPartTracker suspects the shared parts of all runs that a crash ends before they had output. Output of a run clears its parts, on all instances; parts that explain three crashes of different upstreams (five, if they had output before) are blocked, and only together while nothing tells them apart. Requests with blocked parts are refused as not run, with a Retry-After of ten minutes; those that wait or would be sent on are ended.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -20,6 +20,7 @@
 import io.buckthornlever.core.serving.LapseGracePeriod
 import io.buckthornlever.core.serving.LeaseCandidates
 import io.buckthornlever.core.serving.LocalQuotaLimiter
+import io.buckthornlever.core.serving.PoisonPartTracker
 import io.buckthornlever.core.serving.PoisonRequestTracker
 import io.buckthornlever.core.serving.QuotaCeilings
 import io.buckthornlever.core.serving.RelayLog
@@ -58,6 +59,7 @@
     private val localQuotaLimiter = LocalQuotaLimiter(settings.instance, settings.quota, clock.monotonicNanos(), quotaCeilings)
     private val retryBudget = ServiceRetryBudget(settings.retryRatio, settings.retryWindow, settings.retrySlack)
     private val poisonRequests = PoisonRequestTracker()
+    private val poisonParts = PoisonPartTracker()
     private val usageLedger = UsageLedger(settings.usageWindow?.toMillis() ?: DEFAULT_WINDOW_MILLIS)
     private val demand = DemandMeter()
     private val metrics = GatewayMetrics()
@@ -85,6 +87,7 @@
             quotaCharger,
             retryBudget,
             poisonRequests,
+            poisonParts,
             usageLedger,
             demand,
             pool,
@@ -115,6 +118,8 @@
     private val dutyRunner = DutyRunner(settings.instance, clock, store, duties, usageLedger, settings.usageWindow, settings.leaseTtl, log)
     private val orderSender =
         UpstreamOrderSender(settings.instance, settings.domains, clock, duties, balancer, demand, log, dutyRunner::onSuperseded)
+    private val suspectParts =
+        SuspectPartExchange(settings.instance, clock, poisonParts, peers, { dutyRunner.fencing != null }, log)
     private val pauseDetector = PauseDetector(clock.monotonicNanos(), clock.now().toEpochMilli())
     private val evacuatedDomains = HashSet<FailureDomain>()
     private var liveInstances: Set<String>? = null
@@ -147,6 +152,9 @@
             balancer.upstreams.count { !it.upstream.leaving }.toDouble()
         }
         metrics.registerGauge("buckthornlever_requests_waiting", "Requests that wait for room") { context.queues.waitingCount.toDouble() }
+        metrics.registerGauge("buckthornlever_blocked_prompt_parts", "Prompt parts blocked since runs with them crashed upstreams") {
+            poisonParts.blocked.size.toDouble()
+        }
         log.write(GatewayEvent.STARTED, "callers" to settings.callerAddress.host + ":" + port, "domain" to settings.domain)
         return port
     }
@@ -210,6 +218,7 @@
         }
         updateMembers()
         ceilingStore.update()
+        suspectParts.tick()
         if (stoppingSince == null) dutyRunner.tick(LeaseCandidates.includes(settings.instance, peers.liveNames()))
         val table = tableCache.table
         val fencing = dutyRunner.fencing
@@ -306,6 +315,7 @@
                     poisonRequests.replacePeers(message.breaks - settings.instance)
                     dutyRunner.onHeldElsewhere()
                 }
+                is PeerMessage.SuspectParts -> suspectParts.onMessage(message)
                 is PeerMessage.ChargeRequest -> {
                     checkPause()
                     quotaCharger.onChargeRequest(message)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -23,6 +23,8 @@
     UPSTREAM_GONE("BL-2202", Level.INFO, "upstream is gone"),
     UPSTREAM_LAPSED("BL-2203", Level.INFO, "upstream's registration lapsed while the store was away"),
     DOMAINS_EVACUATED("BL-2204", Level.INFO, "evacuated failure domains changed"),
+    PARTS_BLOCKED("BL-2205", Level.WARN, "prompt parts blocked since runs with them crashed upstreams"),
+    PARTS_UNBLOCKED("BL-2206", Level.INFO, "prompt parts no longer blocked"),
     REQUEST_REFUSED("BL-2301", Level.INFO, "request refused before it was placed"),
     REQUEST_FINISHED("BL-2302", Level.INFO, "request finished"),
     ATTEMPT_ENDED("BL-2303", Level.INFO, "attempt ended without a usable answer"),
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
@@ -95,22 +95,30 @@
         return true
     }
 
+    /** Sends [message] to all other instances. */
+    fun broadcast(message: PeerMessage) {
+        val openChannel = channel ?: return
+        val bytes = encode(message)
+        for (address in addresses.values) openChannel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address))
+        openChannel.flush()
+    }
+
+    /** Name of the instance that holds the duty lease; null if it is this one or has been silent for too long. */
+    fun leaseHolder(): String? =
+        overviewSender?.takeIf { !localInstance.holdsDutyLease() && clock.monotonicNanos() - overviewReceivedAt <= HOLDER_SILENCE_NANOS }
+
     /** Sends this instance's state to the lease holder, or the overview to all instances if this instance holds the lease. */
     fun sendNow() {
         if (localInstance.holdsDutyLease()) return broadcastOverview()
-        val holder = overviewSender ?: return
-        if (clock.monotonicNanos() - overviewReceivedAt <= HOLDER_SILENCE_NANOS) send(holder, localInstance.state())
+        leaseHolder()?.let { send(it, localInstance.state()) }
     }
 
     private fun broadcastOverview() {
-        val openChannel = channel ?: return
         val now = clock.monotonicNanos()
         if (addresses.isEmpty() || now - overviewSentAt < MIN_INTERVAL_MILLIS * NANOS_PER_MILLI / 2) return
         overviewSentAt = now
-        val bytes = encode(localInstance.overview(addresses.keys - liveNames()))
-        for (address in addresses.values) openChannel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address))
+        broadcast(localInstance.overview(addresses.keys - liveNames()))
         sendHolderStatus()
-        openChannel.flush()
     }
 
     private fun sendHolderStatus() {
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.gateway.process
 
+import io.buckthornlever.core.serving.SuspectEvidence
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -100,6 +101,14 @@
         val id: Long,
     ) : PeerMessage
 
+    /** Evidence on prompt parts that may crash upstreams, by part: of one instance to the lease holder, or merged from the holder to all. */
+    @Serializable
+    @SerialName("p")
+    data class SuspectParts(
+        override val sender: String,
+        val evidence: Map<Long, SuspectEvidence>,
+    ) : PeerMessage
+
     /** Result of a charge request. */
     @Serializable
     enum class Verdict {
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/CallerRequestHead.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/CallerRequestHead.kt
@@ -24,4 +24,7 @@
 ) {
     /** Parts of the prompt that other requests may share: all but the last. */
     val sharedParts: List<PromptPart> get() = promptParts.dropLast(1)
+
+    /** Ids of the [sharedParts]. */
+    val sharedPartIds: List<Long> get() = sharedParts.map { it.id }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -49,6 +49,7 @@
     private val fingerprint: Long,
 ) : CallerExchange,
     AttemptListener {
+    private val sharedPartIds = head.sharedPartIds
     private val triedUpstreams = HashSet<UpstreamId>()
     private val splitter = EventSplitter()
     private val timers = ArrayList<ScheduledFuture<*>>()
@@ -60,6 +61,7 @@
     private var runs = 0
     private var sends = 0
     private var isUsageCounted = false
+    private var isOutputRecorded = false
     private var isHeadSent = false
     private var isLarge = false
     private var streamHead: HttpResponse? = null
@@ -104,6 +106,11 @@
             giveUp("the table is not confirmed", RequestLimits.RETRY_AFTER_UNCONFIRMED)
             return QueueStep.DONE
         }
+        if (isPoison()) {
+            leaveQueue()
+            giveUp("it crashes upstreams", RequestLimits.RETRY_AFTER_POISON)
+            return QueueStep.DONE
+        }
         val placement = context.balancer.choose(placementQuery(), now)
         if (placement is Placement.Chosen) {
             leaveQueue()
@@ -152,6 +159,7 @@
             val last = lastEventId
             if (id != null && last != null && id <= last) continue
             if (id != null) lastEventId = id
+            recordOutput()
             sendHead()
             reply.write(event.bytes)
             attempt.recordProgress()
@@ -165,6 +173,7 @@
     ) {
         isHeadSent = true
         isLarge = true
+        recordOutput()
         reply.start(response.status(), context.protocol.callerHeaders(response))
     }
 
@@ -191,6 +200,7 @@
         attempt: Attempt,
         response: BufferedResponse,
     ) {
+        recordOutput()
         finish("served")
         reply.respond(response.status, response.headers, response.body)
         context.queues.retry(service)
@@ -208,6 +218,9 @@
         proof = proof.strongerOf(end.proof)
         if (end.proof != ExecutionProof.NOT_RUN) runs++
         if (end is AttemptEnd.Broken) context.poisonRequests.onBrokenRun(fingerprint, now())
+        if (end is AttemptEnd.Broken && end.isConnectionLost && !attempt.hasOutput) {
+            context.poisonParts.onCrash(sharedPartIds, attempt.entry.upstream.id, context.clock.now().toEpochMilli())
+        }
         // Without events, another attempt cannot resume a partly relayed response.
         val next = if (isLarge) NextStep.ABORT else RetryPolicy.next(route, end, before, runs, sends, isHeadSent) { takeRetry() }
         context.log.write(
@@ -217,7 +230,7 @@
             "end" to end,
             "proof" to proof,
             "output" to attempt.hasOutput,
-            "sharedParts" to head.sharedParts.joinToString(",") { it.id.toULong().toString(HEX_RADIX) }.ifEmpty { null },
+            "sharedParts" to sharedPartIds.joinToString(",") { it.toULong().toString(HEX_RADIX) }.ifEmpty { null },
             "next" to next,
         )
         perform(next, failure)
@@ -253,8 +266,15 @@
 
     /** Consumes one retry of the budget and returns true, or returns false if the request must not be retried. */
     private fun takeRetry(): Boolean =
-        deadlineNanos - now() > RequestLimits.MIN_ATTEMPT_TIME.toNanos() && !context.poisonRequests.isBlocked(fingerprint) &&
-            context.retryBudget.tryAcquire(service, now())
+        deadlineNanos - now() > RequestLimits.MIN_ATTEMPT_TIME.toNanos() && !isPoison() && context.retryBudget.tryAcquire(service, now())
+
+    private fun isPoison(): Boolean = context.poisonRequests.isBlocked(fingerprint) || context.poisonParts.blocks(sharedPartIds)
+
+    private fun recordOutput() {
+        if (isOutputRecorded) return
+        isOutputRecorded = true
+        if (sharedPartIds.isNotEmpty()) context.poisonParts.onOutput(sharedPartIds, context.clock.now().toEpochMilli())
+    }
 
     private fun placementQuery(): PlacementQuery {
         val shared = head.sharedParts.ifEmpty { head.promptParts }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
+import java.time.Duration
 
 /**
  * Resolves the route and the client account of each request, and starts or refuses it.
@@ -74,7 +75,7 @@
         reply: CallerReply,
     ): CallerExchange {
         val fingerprint = ProxiedRequest.fingerprintOf(account, request.head.uri(), request.body)
-        if (context.poisonRequests.isBlocked(fingerprint)) return refuse(head, reply, "its content broke off earlier runs")
+        poisonReason(fingerprint, head)?.let { return refuse(head, reply, it, RequestLimits.RETRY_AFTER_POISON) }
         val service = chooseService(route, head)
         if (table.service(service) == null) return refuse(head, reply, "service $service is not in the table")
         val timeLeft = minOf(head.timeLeft ?: route.timeout, route.timeout)
@@ -84,6 +85,16 @@
         return proxied
     }
 
+    private fun poisonReason(
+        fingerprint: Long,
+        head: CallerRequestHead,
+    ): String? =
+        when {
+            context.poisonRequests.isBlocked(fingerprint) -> "its content broke off earlier runs"
+            context.poisonParts.blocks(head.sharedPartIds) -> "a part of its prompt crashes upstreams"
+            else -> null
+        }
+
     /** Chooses one of the services of [route] by weight; all instances choose the same one for the same request. */
     private fun chooseService(
         route: ServedRoute,
@@ -119,14 +130,9 @@
         head: CallerRequestHead,
         reply: CallerReply,
         reason: String,
+        retryAfter: Duration = RequestLimits.RETRY_AFTER_UNCONFIRMED,
     ): CallerExchange =
-        respondRefused(
-            head,
-            reply,
-            HttpResponseStatus.SERVICE_UNAVAILABLE,
-            reason,
-            GatewayResponseHeaders.retryAfter(RequestLimits.RETRY_AFTER_UNCONFIRMED),
-        )
+        respondRefused(head, reply, HttpResponseStatus.SERVICE_UNAVAILABLE, reason, GatewayResponseHeaders.retryAfter(retryAfter))
 
     private fun respondRefused(
         head: CallerRequestHead,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestLimits.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestLimits.kt
@@ -19,6 +19,9 @@
     /** Retry delay when the instance has no confirmed serving table or cannot reach the store. */
     val RETRY_AFTER_UNCONFIRMED: Duration = Duration.ofMillis(700)
 
+    /** Retry delay for requests that crash upstreams; they will be refused again for minutes. */
+    val RETRY_AFTER_POISON: Duration = Duration.ofMinutes(10)
+
     /** Retry delay for a used-up quota. It refills continuously; by then some requests have left its window. */
     val RETRY_AFTER_QUOTA: Duration = Duration.ofSeconds(1)
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.core.serving.DemandMeter
+import io.buckthornlever.core.serving.PoisonPartTracker
 import io.buckthornlever.core.serving.PoisonRequestTracker
 import io.buckthornlever.core.serving.ServiceRetryBudget
 import io.buckthornlever.core.serving.ServingTableCache
@@ -23,6 +24,7 @@
     val quotas: QuotaCharger,
     val retryBudget: ServiceRetryBudget,
     val poisonRequests: PoisonRequestTracker,
+    val poisonParts: PoisonPartTracker,
     val usage: UsageLedger,
     val demand: DemandMeter,
     val pool: ConnectionPool,
