Tell crashes 50 ms apart from one event

Crashes within 250 ms counted once, so that the third one that counted came after ten crashes; four requests were sent later than allowed.

Connections break within a few milliseconds when upstreams are lost together, so 50 ms tell the two cases apart. QuotaChargerTest accepts the new kinds of messages.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SuspectPart.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SuspectPart.kt
@@ -82,6 +82,6 @@
         const val THRESHOLD = 3
         const val THRESHOLD_AFTER_OUTPUT = 5
         const val MAX_CRASHES = 16
-        const val SAME_MOMENT_MILLIS = 250L
+        const val SAME_MOMENT_MILLIS = 50L
     }
 }
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/QuotaChargerTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/QuotaChargerTest.kt
@@ -138,7 +138,7 @@
         is PeerMessage.ChargeRequest -> charger.onChargeRequest(message)
         is PeerMessage.ChargeResponse -> charger.onChargeResponse(message)
         is PeerMessage.ChargeRefund -> charger.onChargeRefund(message)
-        is PeerMessage.State, is PeerMessage.Overview, is PeerMessage.HolderStatus -> error("not sent by QuotaCharger")
+        else -> error("${message::class.simpleName} is not sent by QuotaCharger")
     }
 
     private fun charge(
