Break off a stream whose next upstream answers with an error

Reported by operators of similar systems: an error of a second upstream in the middle of a stream. Here a stream that had begun and whose next upstream answered with a 4xx (other than 408, 421, 429) neither went on nor ended: the whole response was written into the chunked body, which the HTTP encoder rejects, and the connection stayed open until the caller gave up.

Cause: onResponse answered the caller without regard to what had been sent. Such a response is now a failed attempt like a 5xx: the stream goes on at another upstream if the route allows one more, and is broken off otherwise.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -200,6 +200,8 @@
         attempt: Attempt,
         response: BufferedResponse,
     ) {
+        // The caller is in the middle of a stream, in which no other response can follow.
+        if (isHeadSent) return onFailed(attempt, AttemptEnd.Failed(response.status.code()), null)
         recordOutput()
         finish("served")
         reply.respond(response.status, response.headers, response.body)
