Hold back the version of an order while another one can serve

Cause: no part of the gateway reads the operator's orders to move a service to another version; the upstreams of the new version got requests like all others. The instances follow the orders now, and the version of an order gets requests only when no other version can serve.

PoisonGuard joins the two reasons for which requests must not run, which admission and placement had each for themselves.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PlacementQuery.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PlacementQuery.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.core.serving
 
 import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.version.VersionLabel
 
 /**
  * Properties of a request that determine the choice of its upstream.
@@ -10,6 +11,7 @@
  * @property sharedTokens tokens of [sharedParts]
  * @property promptTokens tokens of the whole prompt; 0 for requests without one
  * @property tried upstreams of earlier attempts
+ * @property excludedVersion version whose upstreams must not run it; null if all versions may
  * @property tieBreak hash of the request; spreads requests for which several upstreams are equally good
  */
 public data class PlacementQuery(
@@ -19,4 +21,5 @@
     val promptTokens: Int = 0,
     val tried: Set<UpstreamId> = emptySet(),
     val tieBreak: Long = 0,
+    val excludedVersion: VersionLabel? = null,
 )
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PoisonPartTracker.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PoisonPartTracker.kt
@@ -27,7 +27,7 @@
     public var revision: Long = 0
         private set
 
-    /** Records that a crash of [upstream] ended a run with [parts], in prompt order, that had had no output. */
+    /** Records that a crash of [upstream] ended a run with [parts] that had had no output. */
     public fun onCrash(
         parts: List<Long>,
         upstream: UpstreamId,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -184,7 +184,8 @@
         entry.upstream.service == query.service &&
             !entry.upstream.leaving &&
             entry.upstream.domain !in evacuated &&
-            entry.upstream.id !in query.tried
+            entry.upstream.id !in query.tried &&
+            entry.upstream.version != query.excludedVersion
 
     private fun hasCapacity(
         entry: UpstreamEntry,
@@ -200,6 +201,7 @@
         val key = query.sharedParts.lastOrNull() ?: return null
         return entries.values
             .filter { it.upstream.service == query.service && !it.upstream.leaving && it.upstream.domain !in evacuated }
+            .filter { it.upstream.version != query.excludedVersion }
             .maxByOrNull { StableHash.combine(key, it.hash) }
     }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -16,6 +16,7 @@
 import io.buckthornlever.api.serving.StateObject
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.VersionOrder
 import io.buckthornlever.core.serving.DemandMeter
 import io.buckthornlever.core.serving.LapseGracePeriod
 import io.buckthornlever.core.serving.LeaseCandidates
@@ -32,6 +33,7 @@
 import io.buckthornlever.gateway.connection.ConnectionPool
 import io.buckthornlever.gateway.connection.ServerAddress
 import io.buckthornlever.gateway.request.CallerProtocol
+import io.buckthornlever.gateway.request.PoisonGuard
 import io.buckthornlever.gateway.request.RequestAdmission
 import io.buckthornlever.gateway.request.ServingContext
 import io.netty.channel.EventLoop
@@ -86,8 +88,7 @@
             balancer,
             quotaCharger,
             retryBudget,
-            poisonRequests,
-            poisonParts,
+            PoisonGuard(poisonRequests, poisonParts),
             usageLedger,
             demand,
             pool,
@@ -152,6 +153,9 @@
             balancer.upstreams.count { !it.upstream.leaving }.toDouble()
         }
         metrics.registerGauge("buckthornlever_requests_waiting", "Requests that wait for room") { context.queues.waitingCount.toDouble() }
+        metrics.registerGauge("buckthornlever_version_orders", "Services that operators have ordered to another version") {
+            context.pendingVersions.size.toDouble()
+        }
         metrics.registerGauge("buckthornlever_blocked_prompt_parts", "Prompt parts blocked since runs with them crashed upstreams") {
             poisonParts.blocked.size.toDouble()
         }
@@ -251,6 +255,7 @@
             StateKind.SERVING_TABLE to Duration.ofMillis((settings.tableAgeLimits.readiness.toMillis() * CONFIRMATION_FRACTION).toLong()),
             StateKind.UPSTREAMS to UPSTREAMS_WATCH_WAIT,
             StateKind.EVACUATIONS to EVACUATIONS_WATCH_WAIT,
+            StateKind.VERSION_ORDERS to SLOW_WATCH_WAIT,
             StateKind.INSTANCES to SLOW_WATCH_WAIT,
             StateKind.QUOTA_HOLDINGS to SLOW_WATCH_WAIT,
         )
@@ -366,7 +371,8 @@
                 is StateValue.Evacuation -> onEvacuation(FailureDomain(changed.name), true)
                 is StateValue.Instance -> peers.addPeer(value.record)
                 is StateValue.Quota -> quotaAllocations.update(changed.revision, value.holdings)
-                is StateValue.Order, is StateValue.Lease, is StateValue.Usage, is StateValue.Ceilings -> Unit
+                is StateValue.Order -> onVersionOrder(value.order)
+                is StateValue.Lease, is StateValue.Usage, is StateValue.Ceilings -> Unit
             }
         }
 
@@ -383,6 +389,7 @@
                 StateKind.UPSTREAMS -> onUpstreamDeleted(UpstreamId(name))
                 StateKind.EVACUATIONS -> onEvacuation(FailureDomain(name), false)
                 StateKind.INSTANCES -> peers.removePeer(name)
+                StateKind.VERSION_ORDERS -> context.pendingVersions.onWithdrawn(name)
                 else -> Unit
             }
         }
@@ -453,6 +460,11 @@
         }
     }
 
+    private fun onVersionOrder(order: VersionOrder) {
+        context.pendingVersions.onOrder(order)
+        log.write(GatewayEvent.VERSION_HELD_BACK, "service" to order.service, "version" to order.target)
+    }
+
     private fun onEvacuation(
         domain: FailureDomain,
         isEvacuated: Boolean,
@@ -465,7 +477,14 @@
     private companion object {
         /** Kinds of objects that every instance follows and can relay. */
         val FOLLOWED_KINDS =
-            listOf(StateKind.SERVING_TABLE, StateKind.UPSTREAMS, StateKind.EVACUATIONS, StateKind.INSTANCES, StateKind.QUOTA_HOLDINGS)
+            listOf(
+                StateKind.SERVING_TABLE,
+                StateKind.UPSTREAMS,
+                StateKind.EVACUATIONS,
+                StateKind.VERSION_ORDERS,
+                StateKind.INSTANCES,
+                StateKind.QUOTA_HOLDINGS,
+            )
         const val TICK_MILLIS = 200L
 
         /** Even a process on a slow host is serving by then. */
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
@@ -101,7 +101,7 @@
         val id: Long,
     ) : PeerMessage
 
-    /** Evidence on prompt parts that may crash upstreams, by part: of one instance to the lease holder, or merged from the holder to all. */
+    /** Evidence on prompt parts that may crash upstreams, by part: of one instance to the lease holder, or merged from it to all. */
     @Serializable
     @SerialName("p")
     data class SuspectParts(
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -5,6 +5,7 @@
 import io.buckthornlever.api.serving.RequestKind
 import io.buckthornlever.api.serving.ServedAccount
 import io.buckthornlever.api.serving.ServedRoute
+import io.buckthornlever.api.version.VersionLabel
 import io.buckthornlever.core.serving.AttemptEnd
 import io.buckthornlever.core.serving.EventSplitter
 import io.buckthornlever.core.serving.ExecutionProof
@@ -106,12 +107,12 @@
             giveUp("the table is not confirmed", RequestLimits.RETRY_AFTER_UNCONFIRMED)
             return QueueStep.DONE
         }
-        if (isPoison()) {
+        poisonReason()?.let { reason ->
             leaveQueue()
-            giveUp("it crashes upstreams", RequestLimits.RETRY_AFTER_POISON)
+            giveUp(reason, RequestLimits.RETRY_AFTER_POISON)
             return QueueStep.DONE
         }
-        val placement = context.balancer.choose(placementQuery(), now)
+        val placement = choosePlacement(now)
         if (placement is Placement.Chosen) {
             leaveQueue()
             send(Attempt(context, this, placement.upstream, head.requestId, head.promptTokens, route.kind == RequestKind.STREAM))
@@ -219,9 +220,9 @@
         val before = proof
         proof = proof.strongerOf(end.proof)
         if (end.proof != ExecutionProof.NOT_RUN) runs++
-        if (end is AttemptEnd.Broken) context.poisonRequests.onBrokenRun(fingerprint, now())
+        if (end is AttemptEnd.Broken) context.poison.requests.onBrokenRun(fingerprint, now())
         if (end is AttemptEnd.Broken && end.isConnectionLost && !attempt.hasOutput) {
-            context.poisonParts.onCrash(sharedPartIds, attempt.entry.upstream.id, context.clock.now().toEpochMilli())
+            context.poison.parts.onCrash(sharedPartIds, attempt.entry.upstream.id, context.clock.now().toEpochMilli())
         }
         // Without events, another attempt cannot resume a partly relayed response.
         val next = if (isLarge) NextStep.ABORT else RetryPolicy.next(route, end, before, runs, sends, isHeadSent) { takeRetry() }
@@ -268,17 +269,26 @@
 
     /** Consumes one retry of the budget and returns true, or returns false if the request must not be retried. */
     private fun takeRetry(): Boolean =
-        deadlineNanos - now() > RequestLimits.MIN_ATTEMPT_TIME.toNanos() && !isPoison() && context.retryBudget.tryAcquire(service, now())
+        deadlineNanos - now() > RequestLimits.MIN_ATTEMPT_TIME.toNanos() && poisonReason() == null &&
+            context.retryBudget.tryAcquire(service, now())
 
-    private fun isPoison(): Boolean = context.poisonRequests.isBlocked(fingerprint) || context.poisonParts.blocks(sharedPartIds)
+    private fun poisonReason(): String? = context.poison.refusalReason(fingerprint, sharedPartIds)
 
     private fun recordOutput() {
         if (isOutputRecorded) return
         isOutputRecorded = true
-        if (sharedPartIds.isNotEmpty()) context.poisonParts.onOutput(sharedPartIds, context.clock.now().toEpochMilli())
+        if (sharedPartIds.isNotEmpty()) context.poison.parts.onOutput(sharedPartIds, context.clock.now().toEpochMilli())
     }
 
-    private fun placementQuery(): PlacementQuery {
+    /** Chooses an upstream of a version that is in service, or of a version that is not yet rather than none. */
+    private fun choosePlacement(now: Long): Placement {
+        val pending = context.pendingVersions.targetOf(service)
+        val placement = context.balancer.choose(placementQuery(pending), now)
+        if (pending == null || placement != Placement.NoUpstream) return placement
+        return context.balancer.choose(placementQuery(null), now)
+    }
+
+    private fun placementQuery(excludedVersion: VersionLabel?): PlacementQuery {
         val shared = head.sharedParts.ifEmpty { head.promptParts }
         return PlacementQuery(
             service,
@@ -289,6 +299,7 @@
             head.promptTokens,
             triedUpstreams,
             StableHash.of(head.requestId.orEmpty()),
+            excludedVersion,
         )
     }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
@@ -75,7 +75,9 @@
         reply: CallerReply,
     ): CallerExchange {
         val fingerprint = ProxiedRequest.fingerprintOf(account, request.head.uri(), request.body)
-        poisonReason(fingerprint, head)?.let { return refuse(head, reply, it, RequestLimits.RETRY_AFTER_POISON) }
+        context.poison.refusalReason(fingerprint, head.sharedPartIds)?.let {
+            return refuse(head, reply, it, RequestLimits.RETRY_AFTER_POISON)
+        }
         val service = chooseService(route, head)
         if (table.service(service) == null) return refuse(head, reply, "service $service is not in the table")
         val timeLeft = minOf(head.timeLeft ?: route.timeout, route.timeout)
@@ -85,16 +87,6 @@
         return proxied
     }
 
-    private fun poisonReason(
-        fingerprint: Long,
-        head: CallerRequestHead,
-    ): String? =
-        when {
-            context.poisonRequests.isBlocked(fingerprint) -> "its content broke off earlier runs"
-            context.poisonParts.blocks(head.sharedPartIds) -> "a part of its prompt crashes upstreams"
-            else -> null
-        }
-
     /** Chooses one of the services of [route] by weight; all instances choose the same one for the same request. */
     private fun chooseService(
         route: ServedRoute,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
@@ -2,8 +2,7 @@
 
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.core.serving.DemandMeter
-import io.buckthornlever.core.serving.PoisonPartTracker
-import io.buckthornlever.core.serving.PoisonRequestTracker
+import io.buckthornlever.core.serving.PendingVersions
 import io.buckthornlever.core.serving.ServiceRetryBudget
 import io.buckthornlever.core.serving.ServingTableCache
 import io.buckthornlever.core.serving.UpstreamBalancer
@@ -23,13 +22,13 @@
     val balancer: UpstreamBalancer,
     val quotas: QuotaCharger,
     val retryBudget: ServiceRetryBudget,
-    val poisonRequests: PoisonRequestTracker,
-    val poisonParts: PoisonPartTracker,
+    val poison: PoisonGuard,
     val usage: UsageLedger,
     val demand: DemandMeter,
     val pool: ConnectionPool,
     val log: EventLog,
     val metrics: GatewayMetrics,
 ) {
+    val pendingVersions: PendingVersions = PendingVersions()
     val queues: PlacementQueues = PlacementQueues(this)
 }
