Log the retry budget with each attempt that ends

The log of an attempt named the next step but not what the instance may still use, nor the number of instances that divides the slack, so that a divisor that is too small, a restart and late sends could not be told apart. No decision changes.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/ServiceRetryBudget.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/ServiceRetryBudget.kt
@@ -30,11 +30,20 @@
         service: String,
         nanos: Long,
     ): Boolean {
+        val usage = usage(service, nanos)
+        if (usage.used + 1 > usage.allowed) return false
+        counts(service).retries.add(1.0, nanos)
+        return true
+    }
+
+    /** Retries for [service] that this instance has used of those that it may use, in the window that ends at [nanos]. */
+    public fun usage(
+        service: String,
+        nanos: Long,
+    ): RetryUsage {
         val counts = counts(service)
         val allowed = USED_FRACTION * (ratio * counts.requests.sum(nanos) + slack / maxOf(1, instances))
-        if (counts.retries.sum(nanos) + 1 > allowed) return false
-        counts.retries.add(1.0, nanos)
-        return true
+        return RetryUsage(counts.retries.sum(nanos), allowed)
     }
 
     private fun counts(service: String): Counts = services.getOrPut(service) { Counts(window) }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -225,6 +225,7 @@
             context.poison.parts.onCrash(sharedPartIds, attempt.entry.upstream.id, context.clock.now().toEpochMilli())
         }
         // Without events, another attempt cannot resume a partly relayed response.
+        val retries = context.retryBudget.usage(service, now())
         val next = if (isLarge) NextStep.ABORT else RetryPolicy.next(route, end, before, runs, sends, isHeadSent) { takeRetry() }
         context.log.write(
             GatewayEvent.ATTEMPT_ENDED,
@@ -235,6 +236,9 @@
             "output" to attempt.hasOutput,
             "sharedParts" to sharedPartIds.joinToString(",") { it.toULong().toString(HEX_RADIX) }.ifEmpty { null },
             "next" to next,
+            "retriesUsed" to retries.used.toInt(),
+            "retriesAllowed" to retries.allowed.toInt(),
+            "instances" to context.retryBudget.instances,
         )
         perform(next, failure)
         context.queues.retry(service)
