Send nothing to a cold upstream before the instances are listed

The rate that a cold upstream can take was used whole by an instance that knew no other yet, and a process that restarted within a second forgot what its predecessor had sent in it.

Change: without the list of instances the share is nothing, and the first request to a cold upstream waits from the start of the process for as long as one after another request would.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.core.serving
 
 import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.serving.DiscoveredUpstream
@@ -17,9 +18,10 @@
 public class UpstreamBalancer(
     self: InstanceId,
     private val domain: FailureDomain,
+    clock: Clock,
 ) {
     private val entries = LinkedHashMap<UpstreamId, UpstreamEntry>()
-    private val coldLimiter = ColdRateLimiter(self)
+    private val coldLimiter = ColdRateLimiter(self, clock.monotonicNanos())
     private var table: ServingTable? = null
 
     /** All known upstreams. */
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
@@ -13,7 +13,7 @@
 class CapacityPlanTest {
     private val domains = listOf("a", "b", "c").map(::FailureDomain)
     private val limits = ScalingLimits(1, 6, Duration.ofSeconds(4), 0.18, domains.associateWith { 1.0 })
-    private val balancer = UpstreamBalancer(InstanceId("i"), FailureDomain("a"))
+    private val balancer = UpstreamBalancer(InstanceId("i"), FailureDomain("a"), ManualClock())
     private val plan = CapacityPlan("s")
 
     @Test
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
@@ -11,7 +11,7 @@
 
 /** Guards against requests to upstreams that leave, are cold, full, evacuated, unreachable or were already tried. */
 class UpstreamBalancerTest {
-    private val balancer = UpstreamBalancer(InstanceId("i1"), FailureDomain("a"))
+    private val balancer = UpstreamBalancer(InstanceId("i1"), FailureDomain("a"), ManualClock(millis(-60_000)))
     private val query = PlacementQuery("s")
 
     @Test
@@ -67,7 +67,7 @@
 
     @Test
     fun `requests with the same shared part go to the same upstream on all instances`() {
-        val other = UpstreamBalancer(InstanceId("i2"), FailureDomain("b"))
+        val other = UpstreamBalancer(InstanceId("i2"), FailureDomain("b"), ManualClock())
         listOf("u1", "u2", "u3", "u4").forEach {
             register(it)
             other.onRegistered(ServingFixtures.upstream(it), 0)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -55,7 +55,7 @@
     private val onStopped: () -> Unit,
 ) {
     private val tableCache = ServingTableCache(settings.tableAgeLimits)
-    private val balancer = UpstreamBalancer(InstanceId(settings.instance), settings.domain)
+    private val balancer = UpstreamBalancer(InstanceId(settings.instance), settings.domain, clock)
     private val incarnation = clock.now().toEpochMilli()
     private val quotaCeilings = QuotaCeilings(settings.quota.window, clock.monotonicNanos())
     private val localQuotaLimiter = LocalQuotaLimiter(settings.instance, settings.quota, clock.monotonicNanos(), quotaCeilings)
@@ -246,7 +246,8 @@
     }
 
     private fun updateMembers() {
-        if (areInstancesListed) retryBudget.instances = peers.registeredCount + 1
+        if (!areInstancesListed) return
+        retryBudget.instances = peers.registeredCount + 1
         val names = peers.liveNames()
         if (names == liveInstances) return
         liveInstances = names
