Keep to the limit that an upstream names

Change: the balancer keeps what an upstream says last and divides the rate among the live instances (StatedRateShares): even shares while there are few of them, turns of a few instances by the time of day when one request of each would be too many at once. An instance that has not listed the others sends nothing.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -18,10 +18,11 @@
 public class UpstreamBalancer(
     self: InstanceId,
     private val domain: FailureDomain,
-    clock: Clock,
+    private val clock: Clock,
 ) {
     private val entries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val coldLimiter = ColdRateLimiter(self, clock.monotonicNanos())
+    private val statedRateShares = StatedRateShares(self)
     private var table: ServingTable? = null
 
     /** All known upstreams. */
@@ -39,6 +40,7 @@
     /** Sets the live instances, including this one. */
     public fun updateInstances(instances: Set<InstanceId>) {
         coldLimiter.instances = instances
+        statedRateShares.instances = instances
     }
 
     /** Sets the failure domains whose upstreams get no requests. */
@@ -64,6 +66,7 @@
     public fun onUnregistered(id: UpstreamId) {
         entries.remove(id)
         coldLimiter.remove(id)
+        statedRateShares.remove(id)
     }
 
     /**
@@ -94,6 +97,22 @@
         entry.coldUntil = nanos + left.toNanos()
     }
 
+    /** Records what [entry] says in a response about the requests that it takes; returns true if it has said something else before. */
+    public fun onLimitStated(
+        entry: UpstreamEntry,
+        limit: StatedLimit,
+    ): Boolean {
+        if (limit == entry.statedLimit) return false
+        entry.statedLimit = limit
+        entry.requestsPerSecond =
+            when (limit) {
+                StatedLimit.None -> null
+                is StatedLimit.PerSecond -> limit.rate
+                StatedLimit.Unreadable -> entry.requestsPerSecond
+            }
+        return true
+    }
+
     /** Chooses an upstream for [query]. The caller has to call [onRequestSent] when it sends the request there. */
     public fun choose(
         query: PlacementQuery,
@@ -133,6 +152,7 @@
     ) {
         entry.inFlight++
         entry.pendingTokens += tokens
+        entry.lastSentNanos = nanos
         if (entry.isCold(nanos)) coldLimiter.onSent(entry.upstream.id, coldRate(entry), nanos)
     }
 
@@ -195,7 +215,17 @@
     ): Boolean =
         nanos >= entry.ejectedUntil &&
             entry.load < entry.upstream.slots &&
-            (!entry.isCold(nanos) || coldRate(entry) <= 0 || coldLimiter.permits(entry.upstream.id, coldRate(entry), nanos))
+            (!entry.isCold(nanos) || coldRate(entry) <= 0 || coldLimiter.permits(entry.upstream.id, coldRate(entry), nanos)) &&
+            permitsStatedRate(entry, nanos)
+
+    private fun permitsStatedRate(
+        entry: UpstreamEntry,
+        nanos: Long,
+    ): Boolean {
+        val perSecond = entry.requestsPerSecond ?: return true
+        val interval = statedRateShares.interval(entry.upstream.id, perSecond, clock.now()) ?: return false
+        return nanos - entry.lastSentNanos >= interval.toNanos()
+    }
 
     private fun coldRate(entry: UpstreamEntry): Double = table?.service(entry.upstream.service)?.coldRequestsPerSecond ?: 0.0
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
@@ -15,12 +15,18 @@
     internal var coldUntil = Long.MIN_VALUE
     internal var lapsedAt: Long? = null
     internal var announcedLeaving = false
+    internal var lastSentNanos = Long.MIN_VALUE / 2
+    internal var statedLimit: StatedLimit = StatedLimit.None
     internal val hash: Long = StableHash.of(upstream.id.value)
 
     /** Its latest registration. */
     public var upstream: DiscoveredUpstream = upstream
         internal set
 
+    /** Requests per second that the upstream takes from all instances together, as it said last; null without a limit. */
+    public var requestsPerSecond: Double? = null
+        internal set
+
     /** Requests from this instance that are in flight at the upstream. */
     public var inFlight: Int = 0
         internal set
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -160,6 +160,9 @@
         metrics.registerGauge("buckthornlever_version_orders", "Services that operators have ordered to another version") {
             context.pendingVersions.size.toDouble()
         }
+        metrics.registerGauge("buckthornlever_limited_upstreams", "Upstreams that state a limit of requests") {
+            balancer.upstreams.count { it.requestsPerSecond != null }.toDouble()
+        }
         metrics.registerGauge("buckthornlever_blocked_prompt_parts", "Prompt parts blocked since runs with them crashed upstreams") {
             poisonParts.blocked.size.toDouble()
         }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -26,6 +26,7 @@
     PARTS_BLOCKED("BL-2205", Level.WARN, "prompt parts blocked since runs with them crashed upstreams"),
     PARTS_UNBLOCKED("BL-2206", Level.INFO, "prompt parts no longer blocked"),
     VERSION_HELD_BACK("BL-2207", Level.WARN, "version of an order gets no requests while another one can serve"),
+    UPSTREAM_LIMIT_CHANGED("BL-2208", Level.INFO, "upstream states another limit of requests"),
     REQUEST_REFUSED("BL-2301", Level.INFO, "request refused before it was placed"),
     REQUEST_FINISHED("BL-2302", Level.INFO, "request finished"),
     ATTEMPT_ENDED("BL-2303", Level.INFO, "attempt ended without a usable answer"),
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -3,14 +3,17 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.buckthornlever.core.serving.AttemptEnd
+import io.buckthornlever.core.serving.StatedLimit
 import io.buckthornlever.core.serving.UpstreamEntry
 import io.buckthornlever.gateway.connection.ExchangeListener
 import io.buckthornlever.gateway.connection.HeadDecision
 import io.buckthornlever.gateway.connection.OutboundConnection
 import io.buckthornlever.gateway.connection.ServerAddress
+import io.buckthornlever.gateway.process.GatewayEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import java.io.ByteArrayOutputStream
 import java.time.Duration
 
@@ -98,6 +101,8 @@
         this.head = head
         head.running?.let { context.balancer.onLoadReported(entry, it, head.waiting) }
         head.coldFor?.let { context.balancer.onColdReported(entry, it, progressNanos) }
+        // A misdirected request was answered by another upstream, at an address that is in use again.
+        if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) recordLimit(head.limit)
         if (head.notRun) return HeadDecision.ACCEPT
         val success = response.status().code() in SUCCESS
         if (success && !hasProofOfOrigin(head, response)) {
@@ -114,6 +119,16 @@
         return HeadDecision.ACCEPT
     }
 
+    private fun recordLimit(limit: StatedLimit) {
+        if (!context.balancer.onLimitStated(entry, limit)) return
+        context.log.write(
+            GatewayEvent.UPSTREAM_LIMIT_CHANGED,
+            "upstream" to entry.upstream.id,
+            "stated" to limit,
+            "perSecond" to entry.requestsPerSecond,
+        )
+    }
+
     override fun onData(bytes: ByteArray) {
         if (isFinished) return
         if (!isRelayingStream) return bufferBody(bytes)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/UpstreamResponseHead.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/UpstreamResponseHead.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.gateway.request
 
+import io.buckthornlever.core.serving.StatedLimit
 import java.time.Duration
 
 /**
@@ -11,6 +12,7 @@
  * @property running number of requests that the upstream runs; null if not reported
  * @property waiting number of requests that wait at the upstream
  * @property coldFor how long the upstream stays cold, that is, bears little load; null if not reported
+ * @property limit what the upstream says about the requests that it takes from all instances together
  */
 public data class UpstreamResponseHead(
     val requestId: String?,
@@ -19,4 +21,5 @@
     val running: Int?,
     val waiting: Int,
     val coldFor: Duration?,
+    val limit: StatedLimit = StatedLimit.None,
 )
