--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -384,6 +384,15 @@
             }
         }
 
+        override fun onChangeFailed(
+            kind: StateKind,
+            changed: StateObject,
+            cause: RuntimeException,
+        ) {
+            log.writeFailure(GatewayEvent.INTERNAL_ERROR, cause, "kind" to kind, "name" to changed.name, "revision" to changed.revision)
+            onUnreadable(kind, changed)
+        }
+
         override fun onTombstone(
             kind: StateKind,
             name: String,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
@@ -93,7 +93,12 @@
     private fun apply(item: StateObject) {
         if ((knownRevisions[item.name] ?: Long.MIN_VALUE) >= item.revision) return
         knownRevisions[item.name] = item.revision
-        listener.onChanged(kind, item)
+        // Thrown out of a callback, an error would end the feed without a trace.
+        try {
+            listener.onChanged(kind, item)
+        } catch (e: RuntimeException) {
+            listener.onChangeFailed(kind, item, e)
+        }
     }
 
     private fun remove(name: String) {
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeedListener.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeedListener.kt
@@ -12,6 +12,13 @@
         changed: StateObject,
     )
 
+    /** Applying [changed] failed with [cause], an error of this program; the other objects are followed as before. */
+    fun onChangeFailed(
+        kind: StateKind,
+        changed: StateObject,
+        cause: RuntimeException,
+    )
+
     /** The object [name] is deleted, whether it was known here or not. */
     fun onTombstone(
         kind: StateKind,
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
@@ -46,6 +46,15 @@
         assertNull(calls.poll(100, TimeUnit.MILLISECONDS))
     }
 
+    @Test
+    fun `an object that cannot be applied does not end the feed`() {
+        follow(StateChange(StateObject(FAILING, 5, null), false), StateChange(StateObject("b", 6, null), false))
+        assertEquals("synchronised 2", next())
+        assertEquals("failed $FAILING", next())
+        assertEquals("changed b", next())
+        assertEquals("synchronised 9", next())
+    }
+
     private fun follow(vararg changes: StateChange) {
         val store = SingleWatchStore(changes.toList())
         val loop = group.next()
@@ -60,9 +69,18 @@
             kind: StateKind,
             changed: StateObject,
         ) {
+            check(changed.name != FAILING)
             calls.add("changed ${changed.name}")
         }
 
+        override fun onChangeFailed(
+            kind: StateKind,
+            changed: StateObject,
+            cause: RuntimeException,
+        ) {
+            calls.add("failed ${changed.name}")
+        }
+
         override fun onTombstone(
             kind: StateKind,
             name: String,
@@ -148,4 +166,8 @@
             done: (Result<Unit, StateFailure>) -> Unit,
         ) = Unit
     }
+
+    private companion object {
+        const val FAILING = "failing"
+    }
 }
