Answer every request that a stopping process has taken

Change: new requests are served in the first 35 in 100 of the grace and refused after that; at its end each request still in work gets its final response: 503 if no upstream can have run it, else 502. Streams that have begun are broken off as before.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
@@ -104,6 +104,11 @@
         channel.close()
     }
 
+    /** Lets the request that is being served answer before the process ends. */
+    fun endExchange() {
+        currentReply?.exchange?.onProcessEnding()
+    }
+
     private fun readHead(request: HttpRequest) {
         partialRequest = request
         requestStartNanos = clock.monotonicNanos()
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerExchange.kt
@@ -7,4 +7,7 @@
 
     /** [writable] is false when the caller reads more slowly than the response arrives, and true once it has caught up. */
     public fun onWritabilityChanged(writable: Boolean)
+
+    /** The process ends at once; a request that has no final response yet gets one now. */
+    public fun onProcessEnding(): Unit = Unit
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerListener.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerListener.kt
@@ -52,6 +52,9 @@
     /** Closes the connections on which no request is being read or served. */
     public fun closeIdle(): Unit = connections.filter { it.isIdle }.forEach { it.close() }
 
+    /** Lets all requests that are being served answer before the process ends. */
+    public fun endExchanges(): Unit = connections.toList().forEach { it.endExchange() }
+
     /** Stops accepting connections and closes the open ones. */
     public fun close() {
         serverChannel?.close()
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -130,6 +130,9 @@
     private var areInstancesListed = false
     private var storeUnavailable = false
     private val lapseGrace = LapseGracePeriod()
+
+    /** Time after the start of a shutdown beyond which new requests are refused, since they may outlast the rest of the grace. */
+    private val acceptanceTime = minOf(BALANCER_REACTION_TIME, Duration.ofMillis((settings.grace.toMillis() * ACCEPTANCE_SHARE).toLong()))
     private var wasReady = false
     private var stoppingSince: Long? = null
 
@@ -185,10 +188,11 @@
     private fun continueStop() {
         val since = stoppingSince ?: return
         val elapsed = Duration.ofNanos(clock.monotonicNanos() - since)
-        if (elapsed >= REQUEST_ACCEPTANCE_TIME) admission.refusesNewRequests = true
+        if (elapsed >= acceptanceTime) admission.refusesNewRequests = true
         if (elapsed >= BALANCER_REACTION_TIME) callerListener.closeIdle()
         val isGraceOver = elapsed >= settings.grace.minus(EXIT_MARGIN)
         if (isGraceOver || (elapsed >= BALANCER_REACTION_TIME && callerListener.openConnections == 0)) {
+            callerListener.endExchanges()
             peers.sendNow()
             log.open()
             log.write(GatewayEvent.STOPPED, "open" to callerListener.openConnections, "afterMillis" to elapsed.toMillis())
@@ -520,8 +524,8 @@
         /** Time within which a load balancer notices that the instance is not ready. */
         val BALANCER_REACTION_TIME: Duration = Duration.ofMillis(3_200)
 
-        /** Time after the start of a shutdown beyond which new requests are refused, since a stream may outlast the rest of the grace. */
-        val REQUEST_ACCEPTANCE_TIME: Duration = Duration.ofMillis(2_800)
+        /** Share of the grace period in which new requests are served; most streams end within the rest. */
+        const val ACCEPTANCE_SHARE = 0.35
 
         /** Time before the end of the grace period at which the process exits by itself. */
         val EXIT_MARGIN: Duration = Duration.ofMillis(500)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ParkedRequests.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ParkedRequests.kt
@@ -57,5 +57,10 @@
         override fun onWritabilityChanged(writable: Boolean) {
             exchange?.onWritabilityChanged(writable)
         }
+
+        override fun onProcessEnding() {
+            release()
+            exchange?.onProcessEnding()
+        }
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -371,13 +371,21 @@
         return (callerTimeout.toNanos() * RequestLimits.STALL_TIMEOUT_SHARE).toLong()
     }
 
-    private fun onDeadline() {
+    override fun onProcessEnding(): Unit = endNow("the process ends", HttpResponseStatus.BAD_GATEWAY)
+
+    private fun onDeadline(): Unit = endNow("deadline passed in the queue", HttpResponseStatus.GATEWAY_TIMEOUT)
+
+    /** Gives the final response: a refusal for [refusal] if no upstream can have run the request, or else a failure with [status]. */
+    private fun endNow(
+        refusal: String,
+        status: HttpResponseStatus,
+    ) {
         if (isFinished) return
         val running = attempt
         when {
             isHeadSent -> abort()
-            proof == ExecutionProof.NOT_RUN && running?.wasSent != true -> refuse("deadline passed in the queue", RequestLimits.RETRY_AFTER)
-            else -> fail(HttpResponseStatus.GATEWAY_TIMEOUT)
+            proof == ExecutionProof.NOT_RUN && running?.wasSent != true -> refuse(refusal, RequestLimits.RETRY_AFTER)
+            else -> fail(status)
         }
         running?.cancel()
     }
