Keep the upstreams of an ordered version when capacity is ordered

Cause: an operator's order starts upstreams of the new version beside the old ones. The capacity plan counted both alike, found twice the wanted number and ordered the old number again; the platform then stopped the newest.

Change: while a service has an ordered version, the plan counts only the other upstreams and adds those of the ordered version to its orders, orders nothing for 2.5 s after the order is seen, since those upstreams are still registering, and nothing that does not fit under the platform's limit beside them.

Result: CapacityPlanTest, two new tests (they name the new parameter, so they do not compile before).

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
@@ -3,6 +3,7 @@
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.serving.ScalingLimits
 import io.buckthornlever.api.serving.UpstreamOrder
+import io.buckthornlever.api.version.VersionLabel
 import kotlin.math.ceil
 
 /**
@@ -22,6 +23,8 @@
     private var extraOnDemand = 0
     private var extraOnDemandUntil = Long.MIN_VALUE
     private var reclaimableUnavailableUntil = Long.MIN_VALUE
+    private var trialVersion: VersionLabel? = null
+    private var trialSince = Long.MIN_VALUE
     private val warmedUpDomains = HashSet<FailureDomain>()
 
     /** Records that the platform had no reclaimable upstreams available. */
@@ -35,6 +38,8 @@
      *
      * @param tokensPerSecond recent demand in prompt tokens per second
      * @param evacuated failure domains whose upstreams get no requests
+     * @param trialVersion version whose upstreams run beside those that carry the load and must not be stopped in exchange for them;
+     * null if there is none
      */
     public fun orders(
         limits: ScalingLimits,
@@ -43,8 +48,44 @@
         tokensPerSecond: Double,
         nanos: Long,
         evacuated: Set<FailureDomain> = emptySet(),
+        trialVersion: VersionLabel? = null,
+    ): List<UpstreamOrder> {
+        if (trialVersion != this.trialVersion) {
+            this.trialVersion = trialVersion
+            trialSince = nanos
+        }
+        // Those that have not registered yet would be stopped by an order that does not count them.
+        if (trialVersion != null && nanos < trialSince + REGISTRATION_NANOS) return emptyList()
+        val running = upstreams.filter { it.upstream.service == service && !it.upstream.leaving }
+        val carrying = running.filter { it.upstream.version != trialVersion }.ifEmpty { running }
+        val planned = plan(limits, domains, upstreams, carrying, tokensPerSecond, nanos, evacuated)
+        val trial = running - carrying.toSet()
+        return if (trial.isEmpty()) planned else planned.mapNotNull { besideTrial(it, limits, running, trial) }
+    }
+
+    /** Adds the [trial] upstreams to [order], which counts all upstreams; null if the platform's limit leaves no room for both. */
+    private fun besideTrial(
+        order: UpstreamOrder,
+        limits: ScalingLimits,
+        running: List<UpstreamEntry>,
+        trial: List<UpstreamEntry>,
+    ): UpstreamOrder? {
+        val here = trial.filter { it.upstream.domain == order.domain }
+        if (here.isEmpty()) return order
+        val count = order.count + here.count { it.upstream.reclaimable == order.reclaimable }
+        val otherKind = running.count { it.upstream.domain == order.domain && it.upstream.reclaimable != order.reclaimable }
+        return if (count + otherKind <= limits.maximum) order.copy(count = count) else null
+    }
+
+    private fun plan(
+        limits: ScalingLimits,
+        domains: List<FailureDomain>,
+        upstreams: List<UpstreamEntry>,
+        present: List<UpstreamEntry>,
+        tokensPerSecond: Double,
+        nanos: Long,
+        evacuated: Set<FailureDomain>,
     ): List<UpstreamOrder> {
-        val present = upstreams.filter { it.upstream.service == service && !it.upstream.leaving }
         if (present.isEmpty() || domains.isEmpty()) return emptyList()
         if (nanos < upstreams.filter { it.upstream.service == service }.minOf { it.firstSeenNanos } + REGISTRATION_NANOS) return emptyList()
         val needed = neededUpstreams(present.size, tokensPerSecond, nanos)
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
@@ -4,6 +4,7 @@
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.serving.ScalingLimits
 import io.buckthornlever.api.serving.UpstreamOrder
+import io.buckthornlever.api.version.VersionLabel
 import java.time.Duration
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -108,6 +109,34 @@
         assertTrue(orders.sumOf { it.count } >= 6, "$orders")
     }
 
+    @Test
+    fun `upstreams of a version on trial are not stopped in exchange for those that carry the load`() {
+        register("od", 2, reclaimable = false)
+        val before = orders(180_000, REGISTERED)
+        val trial = VersionLabel("v2")
+        assertTrue(ordersBeside(trial, REGISTERED + 1).isEmpty())
+        register("trial", 1, reclaimable = false, version = trial)
+        val beside = ordersBeside(trial, REGISTERED * 2 + 1)
+        assertEquals(before.map { if (it.reclaimable) it else it.copy(count = it.count + 1) }, beside)
+    }
+
+    @Test
+    fun `reclaimable upstreams are not ordered where the limit leaves no room beside a version on trial`() {
+        register("od", 2, reclaimable = false)
+        orders(180_000, REGISTERED)
+        val trial = VersionLabel("v2")
+        ordersBeside(trial, REGISTERED + 1)
+        register("trial", limits.maximum - 2, reclaimable = false, version = trial)
+        val orders = ordersBeside(trial, REGISTERED * 2 + 1)
+        assertEquals(List(domains.size) { limits.maximum }, orders.map { it.count })
+        assertTrue(orders.none { it.reclaimable })
+    }
+
+    private fun ordersBeside(
+        trial: VersionLabel?,
+        nanos: Long,
+    ): List<UpstreamOrder> = plan.orders(limits, domains, balancer.upstreams.toList(), 180_000.0, nanos, trialVersion = trial)
+
     private fun orders(
         tokensPerSecond: Int,
         nanos: Long,
@@ -120,10 +149,12 @@
         prefix: String,
         perDomain: Int,
         reclaimable: Boolean,
+        version: VersionLabel = VersionLabel("v1"),
     ) {
         for (domain in domains) {
             repeat(perDomain) {
-                balancer.onRegistered(ServingFixtures.upstream("$prefix-$domain-$it", domain.value, reclaimable = reclaimable), 0)
+                val upstream = ServingFixtures.upstream("$prefix-$domain-$it", domain.value, reclaimable = reclaimable)
+                balancer.onRegistered(upstream.copy(version = version), 0)
             }
         }
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -121,7 +121,17 @@
         )
     private val dutyRunner = DutyRunner(settings.instance, clock, store, duties, usageLedger, settings.usageWindow, settings.leaseTtl, log)
     private val orderSender =
-        UpstreamOrderSender(settings.instance, settings.domains, clock, duties, balancer, demand, log, dutyRunner::onSuperseded)
+        UpstreamOrderSender(
+            settings.instance,
+            settings.domains,
+            clock,
+            duties,
+            balancer,
+            demand,
+            context.pendingVersions::targetOf,
+            log,
+            dutyRunner::onSuperseded,
+        )
     private val suspectParts =
         SuspectPartExchange(settings.instance, clock, poisonParts, peers, { dutyRunner.fencing != null }, log)
     private val pauseDetector = PauseDetector(clock.monotonicNanos(), clock.now().toEpochMilli())
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/UpstreamOrderSender.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/UpstreamOrderSender.kt
@@ -6,6 +6,7 @@
 import io.buckthornlever.api.serving.ServingTable
 import io.buckthornlever.api.serving.SingletonDuties
 import io.buckthornlever.api.serving.UpstreamOrder
+import io.buckthornlever.api.version.VersionLabel
 import io.buckthornlever.core.serving.CapacityPlan
 import io.buckthornlever.core.serving.DemandMeter
 import io.buckthornlever.core.serving.UpstreamBalancer
@@ -13,6 +14,8 @@
 
 /**
  * Sends the upstream orders of the capacity plans to the platform while this instance holds the duty lease.
+ *
+ * @param trialVersion version whose upstreams run beside those that carry the load of a service, null if there is none
  */
 internal class UpstreamOrderSender(
     private val self: String,
@@ -21,6 +24,7 @@
     private val duties: SingletonDuties,
     private val balancer: UpstreamBalancer,
     private val demand: DemandMeter,
+    private val trialVersion: (service: String) -> VersionLabel?,
     private val log: EventLog,
     private val onSuperseded: (Long) -> Unit,
 ) {
@@ -42,8 +46,9 @@
         for (service in table.services) {
             val limits = service.scaling ?: continue
             val plan = plans.getOrPut(service.name) { CapacityPlan(service.name) }
+            val tokensPerSecond = demand.tokensPerSecond(service.name, now)
             plan
-                .orders(limits, domains, balancer.upstreams.toList(), demand.tokensPerSecond(service.name, now), now, balancer.evacuated)
+                .orders(limits, domains, balancer.upstreams.toList(), tokensPerSecond, now, balancer.evacuated, trialVersion(service.name))
                 .filter { schedule.isDue(it, runningCount(it), now) }
                 .forEach { send(it, fencing, now) }
         }
