Move the record of a version move to the api

The shared store of the platform carries it with an operator's order, and its interface cannot depend on the core. MoveId, MoveState and MoveStatus go to api.version unchanged.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveId.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/version/MoveId.kt
@@ -1,7 +1,6 @@
-package io.buckthornlever.core.version
+package io.buckthornlever.api.version
 
 import io.buckthornlever.api.process.PoolName
-import io.buckthornlever.api.version.VersionMove
 import kotlinx.serialization.Serializable
 
 /** Identity of one version move of a pool. A changed start time makes it another move; a changed due time does not. */
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveStatus.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/version/MoveStatus.kt
@@ -1,4 +1,4 @@
-package io.buckthornlever.core.version
+package io.buckthornlever.api.version
 
 import kotlinx.serialization.Serializable
 
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/version/MoveLog.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/version/MoveLog.kt
@@ -1,7 +1,7 @@
 package io.buckthornlever.bench.version
 
-import io.buckthornlever.core.version.MoveState
-import io.buckthornlever.core.version.MoveStatus
+import io.buckthornlever.api.version.MoveState
+import io.buckthornlever.api.version.MoveStatus
 import java.time.Duration
 import java.time.Instant
 
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/version/MoveSimulation.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/version/MoveSimulation.kt
@@ -6,12 +6,12 @@
 import io.buckthornlever.api.process.PoolTable
 import io.buckthornlever.api.process.RouteName
 import io.buckthornlever.api.process.ServiceKind
+import io.buckthornlever.api.version.MoveState
 import io.buckthornlever.api.version.VersionLabel
 import io.buckthornlever.api.version.VersionMove
 import io.buckthornlever.bench.process.EventLoop
 import io.buckthornlever.core.version.HeldLease
 import io.buckthornlever.core.version.MoveCommand
-import io.buckthornlever.core.version.MoveState
 import io.buckthornlever.core.version.Outcome
 import io.buckthornlever.core.version.VersionMoves
 import io.buckthornlever.core.version.VersionRouting
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/version/MoveStore.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/version/MoveStore.kt
@@ -1,7 +1,7 @@
 package io.buckthornlever.bench.version
 
 import io.buckthornlever.api.process.ObjectVersion
-import io.buckthornlever.core.version.MoveStatus
+import io.buckthornlever.api.version.MoveStatus
 import java.time.Instant
 
 /** Stored record of one move with outages; every tenth write takes effect although its answer is lost. */
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/EvidenceDelta.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/EvidenceDelta.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.process.RouteName
+import io.buckthornlever.api.version.MoveId
 import kotlinx.serialization.Serializable
 
 /**
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveCommand.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveCommand.kt
@@ -3,6 +3,7 @@
 import io.buckthornlever.api.process.ObjectKey
 import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.process.PoolName
+import io.buckthornlever.api.version.MoveStatus
 
 /** Action that the owner of [VersionMoves] has to carry out. */
 public sealed interface MoveCommand {
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveController.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveController.kt
@@ -3,6 +3,9 @@
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.process.ObjectKey
 import io.buckthornlever.api.process.ObjectVersion
+import io.buckthornlever.api.version.MoveId
+import io.buckthornlever.api.version.MoveState
+import io.buckthornlever.api.version.MoveStatus
 import io.buckthornlever.api.version.VersionMove
 import java.time.Duration
 import java.time.Instant
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionMoves.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionMoves.kt
@@ -4,6 +4,8 @@
 import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.process.PoolName
 import io.buckthornlever.api.process.PoolTable
+import io.buckthornlever.api.version.MoveId
+import io.buckthornlever.api.version.MoveStatus
 import java.time.Instant
 
 /**
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionStop.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionStop.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.core.version
 
 import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.api.version.MoveId
 import kotlinx.serialization.Serializable
 
 /**
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/version/MoveFixture.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/version/MoveFixture.kt
@@ -6,6 +6,7 @@
 import io.buckthornlever.api.process.PoolTable
 import io.buckthornlever.api.process.RouteName
 import io.buckthornlever.api.process.ServiceKind
+import io.buckthornlever.api.version.MoveId
 import io.buckthornlever.api.version.VersionLabel
 import io.buckthornlever.api.version.VersionMove
 import java.time.Duration
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/version/VersionMovesTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/version/VersionMovesTest.kt
@@ -3,9 +3,8 @@
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.process.PoolTable
-import net.jqwik.api.ForAll
-import net.jqwik.api.Property
-import net.jqwik.api.constraints.LongRange
+import io.buckthornlever.api.version.MoveState
+import io.buckthornlever.api.version.MoveStatus
 import java.time.Instant
 import java.util.SplittableRandom
 import kotlin.test.Test
@@ -13,6 +12,9 @@
 import kotlin.test.assertIs
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.LongRange
 
 internal class VersionMovesTest {
     /** Object store with one record that executes the lease holder's calls; [losesResponse] decides whether a write's response is lost. */
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/MoveMessages.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/MoveMessages.kt
@@ -1,7 +1,7 @@
 package io.buckthornlever.daemon.version
 
+import io.buckthornlever.api.version.MoveStatus
 import io.buckthornlever.core.version.EvidenceDelta
-import io.buckthornlever.core.version.MoveStatus
 import io.buckthornlever.core.version.VersionStop
 import kotlinx.serialization.Serializable
 
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/MoveStatusStore.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/MoveStatusStore.kt
@@ -4,8 +4,8 @@
 import com.github.michaelbull.result.get
 import io.buckthornlever.api.process.ObjectStore
 import io.buckthornlever.api.process.StoreError
+import io.buckthornlever.api.version.MoveStatus
 import io.buckthornlever.core.version.MoveCommand
-import io.buckthornlever.core.version.MoveStatus
 import io.buckthornlever.core.version.VersionMoves
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/TrafficControl.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/version/TrafficControl.kt
@@ -3,13 +3,13 @@
 import io.buckthornlever.api.connection.UpstreamId
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.process.InstanceId
+import io.buckthornlever.api.version.MoveState
+import io.buckthornlever.api.version.MoveStatus
 import io.buckthornlever.core.process.FailureDomains
 import io.buckthornlever.core.process.LimitPartition
 import io.buckthornlever.core.process.UpstreamEvent
 import io.buckthornlever.core.version.HeldLease
 import io.buckthornlever.core.version.MoveCommand
-import io.buckthornlever.core.version.MoveState
-import io.buckthornlever.core.version.MoveStatus
 import io.buckthornlever.core.version.Outcome
 import io.buckthornlever.core.version.VersionMoves
 import io.buckthornlever.core.version.VersionStop
--- a/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/version/MoveClusterTest.kt
+++ b/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/version/MoveClusterTest.kt
@@ -1,7 +1,7 @@
 package io.buckthornlever.daemon.version
 
-import io.buckthornlever.core.version.MoveState
-import io.buckthornlever.core.version.MoveStatus
+import io.buckthornlever.api.version.MoveState
+import io.buckthornlever.api.version.MoveStatus
 import io.buckthornlever.daemon.process.DaemonHarness.Companion.await
 import io.buckthornlever.standin.version.VersionFault
 import kotlinx.serialization.json.Json
