Roll a version move back in time when it may not proceed

What operators saw: a move whose evidence held back its share, or whose new version answered nothing, stayed in progress beyond its due time; and a move could complete although hardly any upstream ran the new version, after which the old ones are stopped at once.

Cause: MoveController only refused to raise the share; nothing decided at the due time, and nothing looked at the capacity of the new version. Without upstreams there is no evidence either, so the schedule raised the share.

Change: a move that may not proceed is rolled back a quarter of the schedule's reserve before it is due, with its risks as the reasons. The owner of the moves says whether the new version could carry the load; without that the share stays and the move does not complete.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveController.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveController.kt
@@ -15,6 +15,7 @@
     private val self: InstanceId,
     val id: MoveId,
     move: VersionMove,
+    private val evidenceInterval: () -> Duration,
 ) {
     val evidence = Evidence(self, id)
     var stop: VersionStop? = null
@@ -29,6 +30,10 @@
     private var evidenceSentAt = Instant.MIN
     private var gossipedAt = Instant.MIN
     private var reportedState: MoveState? = null
+    private var canCarryLoad = true
+
+    /** False while the new version may get no larger share, whatever the time. */
+    private val allowsProgress: Boolean get() = assessment.allowsProgress && canCarryLoad && !hasTooFewOutcomes()
 
     /** Applies a changed due time or share limit. */
     fun reconfigure(changed: VersionMove) {
@@ -69,11 +74,13 @@
     fun tick(
         now: Instant,
         lease: HeldLease?,
+        canCarryLoad: Boolean,
     ): List<MoveCommand> {
+        this.canCarryLoad = canCarryLoad
         evidence.prune(now)
         val commands = mutableListOf<MoveCommand>()
         if (raiseStopIfBad(now)) stop?.let { commands.add(MoveCommand.GossipStop(it)) }
-        if (now >= schedule.start && now >= evidenceSentAt.plusOrMin(EVIDENCE_PERIOD)) {
+        if (now >= schedule.start && now >= evidenceSentAt.plusOrMin(evidenceInterval())) {
             evidence.nextDelta(MAX_DELTA_ROWS)?.let { commands.add(MoveCommand.SendEvidence(it)) }
             evidenceSentAt = now
         }
@@ -119,9 +126,10 @@
         if (current.state != MoveState.IN_PROGRESS) return current
         val step = schedule.shares.indexOfLast { it <= current.sharePermille }.coerceAtLeast(0)
         val since = Instant.parse(current.shareSince)
-        if (current.sharePermille == MoveSchedule.FULL_PERMILLE && schedule.mayComplete(since, now) && assessment.allowsProgress) {
+        if (current.sharePermille == MoveSchedule.FULL_PERMILLE && schedule.mayComplete(since, now) && allowsProgress) {
             return finalStatus(MoveState.DONE, lease, now, current.reasons)
         }
+        if (now >= schedule.decision && !allowsProgress) return finalStatus(MoveState.ROLLED_BACK, lease, now, risks(step, now))
         val raisesShare = step + 1 < schedule.shares.size && schedule.mayEnterStep(step + 1, since, now) && mayRaiseShare(step, now)
         val risks = risks(step, now)
         val next = if (!raisesShare) current else current.copy(sharePermille = schedule.shares[step + 1], shareSince = now.toString())
@@ -162,7 +170,7 @@
         step: Int,
         now: Instant,
     ): Boolean {
-        if (!assessment.allowsProgress || hasTooFewOutcomes()) return false
+        if (!allowsProgress) return false
         return assessment.isProvenGood || schedule.mustRaiseNow(step, now)
     }
 
@@ -183,6 +191,7 @@
         val risks = mutableListOf<String>()
         if (!schedule.isFeasible(step, now)) risks.add("not enough time is left before ${move.dueAt}")
         if (!assessment.allowsProgress) risks.add("undecided evidence against the new version: ${assessment.worstTest}")
+        if (!canCarryLoad) risks.add("the new version has too few upstreams")
         if (hasTooFewOutcomes()) risks.add("few attempts of the new version end")
         return risks
     }
@@ -190,7 +199,6 @@
     private fun Instant.plusOrMin(period: Duration): Instant = if (this == Instant.MIN) this else plus(period)
 
     private companion object {
-        val EVIDENCE_PERIOD: Duration = Duration.ofMillis(500)
         val GOSSIP_PERIOD: Duration = Duration.ofSeconds(1)
 
         /** A row takes about 25 bytes in CBOR, so a delta stays below the datagram limit of 1,200 bytes. */
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveSchedule.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveSchedule.kt
@@ -20,8 +20,11 @@
 
     /** Planned time between two raises of the share; when time is short, half of it is enough. */
     val hold: Duration = Duration.between(start, due).dividedBy(STEPS_PER_MOVE).coerceIn(MIN_HOLD, MAX_HOLD)
+
+    /** Time at which a move that may not proceed is rolled back, so that operators know the outcome before the due time. */
+    val decision: Instant = due.minus(reserveOf(start, due).dividedBy(4))
     private val increases = shares.size - 1
-    private val reserve = Duration.between(start, due).dividedBy(6).coerceIn(Duration.ZERO, MAX_RESERVE)
+    private val reserve = reserveOf(start, due)
     private val rampStart = maxOf(start, due.minus(reserve).minus(hold.multipliedBy(increases + 1L)))
 
     /** Whether the share of step [step] may take effect at [now], given that the previous step has been in effect since [since]. */
@@ -69,6 +72,11 @@
         // When the lease holder fails, its lease of a few seconds has to expire and the successor has to read the record.
         private val MAX_RESERVE = Duration.ofSeconds(20)
 
+        private fun reserveOf(
+            start: Instant,
+            due: Instant,
+        ): Duration = Duration.between(start, due).dividedBy(6).coerceIn(Duration.ZERO, MAX_RESERVE)
+
         private fun shareSteps(first: Int): List<Int> =
             generateSequence(first) {
                 if (it >=
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionMoves.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionMoves.kt
@@ -6,6 +6,8 @@
 import io.buckthornlever.api.process.PoolTable
 import io.buckthornlever.api.version.MoveId
 import io.buckthornlever.api.version.MoveStatus
+import io.buckthornlever.api.version.VersionMove
+import java.time.Duration
 import java.time.Instant
 
 /**
@@ -13,20 +15,28 @@
  *
  * Any instance stops a bad version at once, on its own or merged evidence. Only the record written by the lease holder can raise the
  * new version's share.
+ *
+ * @param evidenceInterval time between two [MoveCommand.SendEvidence] of a move
  */
 public class VersionMoves(
     private val self: InstanceId,
+    private val evidenceInterval: () -> Duration = { DEFAULT_EVIDENCE_INTERVAL },
 ) : VersionRouting {
     private val controllers = sortedMapOf<PoolName, MoveController>()
     private val pendingStops = LinkedHashMap<MoveId, VersionStop>()
 
     /** Applies the moves of a new revision of the pool table. */
-    public fun updateTable(table: PoolTable) {
-        val moves = table.pools.mapNotNull { pool -> pool.move?.let { pool.name to it } }.toMap()
+    public fun updateTable(table: PoolTable): Unit =
+        updateMoves(table.pools.mapNotNull { pool -> pool.move?.let { pool.name to it } }.toMap())
+
+    /** Replaces the moves, by pool. */
+    public fun updateMoves(moves: Map<PoolName, VersionMove>) {
         controllers.keys.retainAll(moves.keys)
         moves.forEach { (pool, move) ->
             val id = MoveId.of(pool, move)
-            val controller = controllers[pool]?.takeIf { it.id == id } ?: MoveController(self, id, move).also { controllers[pool] = it }
+            val controller =
+                controllers[pool]?.takeIf { it.id == id }
+                    ?: MoveController(self, id, move, evidenceInterval).also { controllers[pool] = it }
             controller.reconfigure(move)
             pendingStops.remove(id)?.let(controller::mergeStop)
         }
@@ -80,7 +90,14 @@
     override fun tick(
         now: Instant,
         lease: HeldLease?,
-    ): List<MoveCommand> = controllers.values.flatMap { it.tick(now, lease) }
+    ): List<MoveCommand> = tick(now, lease) { true }
+
+    /** Like the other [tick], but the new version's share of a pool is not raised while [canCarryLoad] says that it has too few upstreams. */
+    public fun tick(
+        now: Instant,
+        lease: HeldLease?,
+        canCarryLoad: (PoolName) -> Boolean,
+    ): List<MoveCommand> = controllers.values.flatMap { it.tick(now, lease, canCarryLoad(it.id.pool)) }
 
     override fun weights(now: Instant): Map<PoolName, VersionWeights> = controllers.mapValues { it.value.weights(now) }
 
@@ -94,6 +111,7 @@
     public fun fullEvidence(): List<EvidenceDelta> = controllers.values.mapNotNull { it.evidence.fullDelta() }
 
     private companion object {
+        val DEFAULT_EVIDENCE_INTERVAL: Duration = Duration.ofMillis(500)
         const val MAX_PENDING_STOPS = 64
     }
 }
