Carry out the operators' version orders

Cause: the moves of core.version were wired to the daemon's path only.

Change: VersionOrders turns orders into moves. Each instance counts the outcomes of its attempts and sends them to the lease holder; a stop goes to all at once. A request that was drawn for the new version goes elsewhere when that has no room, and never there again after a failed attempt. The holder rolls back instead of raising the share while the new version has less than half of the others' slots.

--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateStore.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateStore.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.api.serving
 
 import com.github.michaelbull.result.Result
+import io.buckthornlever.api.version.MoveStatus
 import java.time.Duration
 
 /** The shared store. Callbacks run on the thread that made the call, but never before the call has returned. */
@@ -45,6 +46,14 @@
         done: (Result<StateObject, StateFailure>) -> Unit,
     )
 
+    /** Replaces what this system records with an operator's order, [order] staying as it is, if [expected] is the current revision. */
+    public fun replaceStatus(
+        order: VersionOrder,
+        expected: Long,
+        status: MoveStatus,
+        done: (Result<StateObject, StateFailure>) -> Unit,
+    )
+
     /** Deletes the object. */
     public fun delete(
         kind: StateKind,
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.api.serving
 
+import io.buckthornlever.api.version.MoveStatus
 import kotlinx.serialization.Serializable
 
 /** Decoded content of a [StateObject]. */
@@ -21,10 +22,15 @@
     @Serializable
     public data object Evacuation : StateValue
 
-    /** Content of [StateKind.VERSION_ORDERS]. */
+    /**
+     * Content of [StateKind.VERSION_ORDERS].
+     *
+     * @property status what this system has recorded with the order; null before the first record
+     */
     @Serializable
     public data class Order(
         val order: VersionOrder,
+        val status: MoveStatus? = null,
     ) : StateValue
 
     /** Content of [StateKind.INSTANCES]. */
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PlacementQuery.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PlacementQuery.kt
@@ -11,6 +11,7 @@
  * @property sharedTokens tokens of [sharedParts]
  * @property promptTokens tokens of the whole prompt; 0 for requests without one
  * @property tried upstreams of earlier attempts
+ * @property requiredVersion version whose upstreams alone may run it; null if all versions may
  * @property excludedVersion version whose upstreams must not run it; null if all versions may
  * @property tieBreak hash of the request; spreads requests for which several upstreams are equally good
  */
@@ -21,5 +22,10 @@
     val promptTokens: Int = 0,
     val tried: Set<UpstreamId> = emptySet(),
     val tieBreak: Long = 0,
+    val requiredVersion: VersionLabel? = null,
     val excludedVersion: VersionLabel? = null,
-)
+) {
+    /** True if upstreams of [version] may run the request. */
+    internal fun allows(version: VersionLabel): Boolean =
+        version != excludedVersion && (requiredVersion == null || version == requiredVersion)
+}
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -6,6 +6,7 @@
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.serving.DiscoveredUpstream
 import io.buckthornlever.api.serving.ServingTable
+import io.buckthornlever.api.version.VersionLabel
 import java.time.Duration
 
 /**
@@ -113,6 +114,13 @@
         return true
     }
 
+    /** Slots of the upstreams of [service] that get requests, by version. */
+    public fun slotsByVersion(service: String): Map<VersionLabel, Int> =
+        entries.values
+            .filter { it.upstream.service == service && !it.upstream.leaving && it.upstream.domain !in evacuated }
+            .groupingBy { it.upstream.version }
+            .fold(0) { sum, entry -> sum + entry.upstream.slots }
+
     /** Chooses an upstream for [query]. The caller has to call [onRequestSent] when it sends the request there. */
     public fun choose(
         query: PlacementQuery,
@@ -207,7 +215,7 @@
             !entry.upstream.leaving &&
             entry.upstream.domain !in evacuated &&
             entry.upstream.id !in query.tried &&
-            entry.upstream.version != query.excludedVersion
+            query.allows(entry.upstream.version)
 
     private fun hasCapacity(
         entry: UpstreamEntry,
@@ -233,7 +241,7 @@
         val key = query.sharedParts.lastOrNull() ?: return null
         return entries.values
             .filter { it.upstream.service == query.service && !it.upstream.leaving && it.upstream.domain !in evacuated }
-            .filter { it.upstream.version != query.excludedVersion }
+            .filter { query.allows(it.upstream.version) }
             .maxByOrNull { StableHash.combine(key, it.hash) }
     }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -16,7 +16,6 @@
 import io.buckthornlever.api.serving.StateObject
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
-import io.buckthornlever.api.serving.VersionOrder
 import io.buckthornlever.core.serving.DemandMeter
 import io.buckthornlever.core.serving.LapseGracePeriod
 import io.buckthornlever.core.serving.LeaseCandidates
@@ -29,6 +28,8 @@
 import io.buckthornlever.core.serving.ServingTableCache
 import io.buckthornlever.core.serving.UpstreamBalancer
 import io.buckthornlever.core.serving.UsageLedger
+import io.buckthornlever.core.version.HeldLease
+import io.buckthornlever.core.version.VersionOrders
 import io.buckthornlever.gateway.connection.CallerListener
 import io.buckthornlever.gateway.connection.ConnectionPool
 import io.buckthornlever.gateway.connection.ServerAddress
@@ -70,6 +71,8 @@
     private val metrics = GatewayMetrics()
     private val pool = ConnectionPool(loop, clock, UPSTREAM_CONNECT_TIMEOUT)
     private val peers = PeerExchange(loop, clock, settings.instance, GatewayInstance(), log)
+    private val versionOrders =
+        VersionOrders(InstanceId(settings.instance), settings.unprovedVersionPercent) { maxOf(MIN_EVIDENCE_INTERVAL, peers.interval) }
     private val quotaCharger =
         QuotaCharger(
             settings.instance,
@@ -97,6 +100,7 @@
             pool,
             log,
             metrics,
+            versionOrders,
         )
     private val admission = RequestAdmission(context, ::areQuotasKnown, ::checkPause)
     private val callerListener = CallerListener(loop, admission, clock)
@@ -128,12 +132,14 @@
             duties,
             balancer,
             demand,
-            context.pendingVersions::targetOf,
+            versionOrders::trialVersion,
             log,
             dutyRunner::onSuperseded,
         )
     private val suspectParts =
         SuspectPartExchange(settings.instance, clock, poisonParts, peers, { dutyRunner.fencing != null }, log)
+    private val versionOrderRunner =
+        VersionOrderRunner(settings.instance, clock, versionOrders, balancer, store, peers, ::heldLease, log)
     private val pauseDetector = PauseDetector(clock.monotonicNanos(), clock.now().toEpochMilli())
     private val evacuatedDomains = HashSet<FailureDomain>()
     private var liveInstances: Set<String>? = null
@@ -171,7 +177,7 @@
         }
         metrics.registerGauge("buckthornlever_requests_waiting", "Requests that wait for room") { context.queues.waitingCount.toDouble() }
         metrics.registerGauge("buckthornlever_version_orders", "Services that operators have ordered to another version") {
-            context.pendingVersions.size.toDouble()
+            versionOrders.size.toDouble()
         }
         metrics.registerGauge("buckthornlever_limited_upstreams", "Upstreams that state a limit of requests") {
             balancer.upstreams.count { it.requestsPerSecond != null }.toDouble()
@@ -244,6 +250,7 @@
         updateMembers()
         ceilingStore.update()
         suspectParts.tick()
+        versionOrderRunner.tick()
         if (stoppingSince == null) dutyRunner.tick(LeaseCandidates.includes(settings.instance, peers.liveNames()))
         val table = tableCache.table
         val fencing = dutyRunner.fencing
@@ -343,6 +350,7 @@
                     dutyRunner.onHeldElsewhere()
                 }
                 is PeerMessage.SuspectParts -> suspectParts.onMessage(message)
+                is PeerMessage.VersionEvidence -> versionOrderRunner.onMessage(message)
                 is PeerMessage.ChargeRequest -> {
                     checkPause()
                     quotaCharger.onChargeRequest(message)
@@ -393,7 +401,7 @@
                 is StateValue.Evacuation -> onEvacuation(FailureDomain(changed.name), true)
                 is StateValue.Instance -> peers.addPeer(value.record)
                 is StateValue.Quota -> quotaAllocations.update(changed.revision, value.holdings)
-                is StateValue.Order -> onVersionOrder(value.order)
+                is StateValue.Order -> versionOrderRunner.onOrder(value)
                 is StateValue.Lease, is StateValue.Usage, is StateValue.Ceilings -> Unit
             }
         }
@@ -420,7 +428,7 @@
                 StateKind.UPSTREAMS -> onUpstreamDeleted(UpstreamId(name))
                 StateKind.EVACUATIONS -> onEvacuation(FailureDomain(name), false)
                 StateKind.INSTANCES -> peers.removePeer(name)
-                StateKind.VERSION_ORDERS -> context.pendingVersions.onWithdrawn(name)
+                StateKind.VERSION_ORDERS -> versionOrders.onWithdrawn(name)
                 else -> Unit
             }
         }
@@ -495,9 +503,10 @@
         }
     }
 
-    private fun onVersionOrder(order: VersionOrder) {
-        context.pendingVersions.onOrder(order)
-        log.write(GatewayEvent.VERSION_HELD_BACK, "service" to order.service, "version" to order.target)
+    private fun heldLease(): HeldLease? {
+        val fencing = dutyRunner.fencing ?: return null
+        val (_, left) = dutyRunner.heldLease ?: return null
+        return HeldLease(fencing, clock.now().plus(left))
     }
 
     private fun onEvacuation(
@@ -522,6 +531,9 @@
             )
         const val TICK_MILLIS = 200L
 
+        /** Shortest interval at which an instance sends evidence on ordered versions. */
+        val MIN_EVIDENCE_INTERVAL: Duration = Duration.ofMillis(500)
+
         /** Even a process on a slow host is serving by then. */
         const val LOG_OPEN_DELAY_MILLIS = 1_500L
         const val STOP_CHECK_MILLIS = 100L
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewaySettings.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewaySettings.kt
@@ -19,6 +19,7 @@
  * @property retryRatio retries allowed per request of a service, over all instances
  * @property retryWindow sliding window in which requests and retries are counted
  * @property retrySlack retries allowed in [retryWindow] beyond [retryRatio], over all instances
+ * @property unprovedVersionPercent largest share of requests for a version that operators have ordered, until it has proved good
  * @property leaseTtl time after which a lease expires unless it is renewed
  * @property usageWindow length of an accounting window; null if usage is not reported
  * @property firstStart true if no instance of the site can have served requests before
@@ -37,6 +38,7 @@
     val retryRatio: Double,
     val retryWindow: Duration,
     val retrySlack: Double,
+    val unprovedVersionPercent: Int,
     val leaseTtl: Duration,
     val usageWindow: Duration?,
     val firstStart: Boolean,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
@@ -46,7 +46,7 @@
     private var channel: Channel? = null
 
     /** Interval between two state messages of an instance. */
-    private val interval: Duration get() = Duration.ofMillis(maxOf(MIN_INTERVAL_MILLIS, addresses.size * INTERVAL_MILLIS_PER_INSTANCE))
+    val interval: Duration get() = Duration.ofMillis(maxOf(MIN_INTERVAL_MILLIS, addresses.size * INTERVAL_MILLIS_PER_INSTANCE))
 
     /** Number of the other instances that are registered, whether they are alive or not. */
     val registeredCount: Int get() = records.size
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
@@ -1,6 +1,8 @@
 package io.buckthornlever.gateway.process
 
 import io.buckthornlever.core.serving.SuspectEvidence
+import io.buckthornlever.core.version.EvidenceDelta
+import io.buckthornlever.core.version.VersionStop
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -109,6 +111,15 @@
         val evidence: Map<Long, SuspectEvidence>,
     ) : PeerMessage
 
+    /** Evidence on the versions that operators have ordered services to move to, and the stops that were raised on it. */
+    @Serializable
+    @SerialName("v")
+    data class VersionEvidence(
+        override val sender: String,
+        val evidence: List<EvidenceDelta>,
+        val stops: List<VersionStop>,
+    ) : PeerMessage
+
     /** Result of a charge request. */
     @Serializable
     enum class Verdict {
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -2,9 +2,14 @@
 
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
+import io.buckthornlever.api.process.PoolName
+import io.buckthornlever.api.process.RouteName
+import io.buckthornlever.api.serving.RequestKind
+import io.buckthornlever.api.serving.ServedRoute
 import io.buckthornlever.core.serving.AttemptEnd
 import io.buckthornlever.core.serving.StatedLimit
 import io.buckthornlever.core.serving.UpstreamEntry
+import io.buckthornlever.core.version.Outcome
 import io.buckthornlever.gateway.connection.ExchangeListener
 import io.buckthornlever.gateway.connection.HeadDecision
 import io.buckthornlever.gateway.connection.OutboundConnection
@@ -19,8 +24,6 @@
 
 /**
  * One attempt to execute a request at one upstream. It ends exactly once: with a response, an [AttemptEnd] or [cancel].
- *
- * @property relaysStream true if a successful response is relayed as it arrives
  */
 internal class Attempt(
     private val context: ServingContext,
@@ -28,7 +31,7 @@
     val entry: UpstreamEntry,
     private val requestId: String?,
     private val promptTokens: Int,
-    private val relaysStream: Boolean,
+    private val route: ServedRoute,
 ) : ExchangeListener {
     private var connection: OutboundConnection? = null
     private var response: HttpResponse? = null
@@ -40,6 +43,13 @@
     private var promptTokensReleased = false
     private val body = ByteArrayOutputStream()
 
+    /** A successful response is relayed as it arrives. */
+    private val relaysStream = route.kind == RequestKind.STREAM
+    private val wasUnderLoad = entry.load * 2 >= entry.upstream.slots
+    private val wasCold = entry.isCold(context.clock.monotonicNanos())
+    private var sentNanos = 0L
+    private var outputNanos: Long? = null
+
     /**
      * Monotonic time of the last progress: the head of a response, a complete event of a stream, or [PROGRESS_BYTES] of any
      * other body. Single bytes do not count, since a stuck upstream may still send one now and then.
@@ -134,6 +144,7 @@
         if (!isRelayingStream) return bufferBody(bytes)
         if (!hasOutput) {
             hasOutput = true
+            outputNanos = context.clock.monotonicNanos()
             releasePromptTokens()
             listener.onExecutionStarted(this)
         }
@@ -211,7 +222,8 @@
         if (isFinished) return connection.close()
         this.connection = connection
         sentMillis = context.clock.now().toEpochMilli()
-        progressNanos = context.clock.monotonicNanos()
+        sentNanos = context.clock.monotonicNanos()
+        progressNanos = sentNanos
         connection.send(request(), this)
     }
 
@@ -234,6 +246,17 @@
         isFinished = true
         releasePromptTokens()
         context.balancer.onRequestFinished(entry, failed)
+        if (wasSent && head?.notRun != true) recordOutcome(failed ?: false)
+    }
+
+    /** Records the time to the first token of a stream, and the whole time otherwise; a cancelled attempt would have taken even longer. */
+    private fun recordOutcome(failed: Boolean) {
+        val now = context.clock.now()
+        val latency = Duration.ofNanos((outputNanos ?: context.clock.monotonicNanos()) - sentNanos)
+        val upstream = entry.upstream
+        val outcome =
+            Outcome(PoolName(upstream.service), RouteName(route.name), upstream.version, failed, latency, wasUnderLoad, wasCold)
+        context.versionOrders.observe(outcome, now)
     }
 
     private fun releasePromptTokens() {
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.gateway.request
 
 import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.process.RouteName
 import io.buckthornlever.api.serving.QuotaUnit
 import io.buckthornlever.api.serving.RequestKind
 import io.buckthornlever.api.serving.ServedAccount
@@ -16,6 +17,7 @@
 import io.buckthornlever.core.serving.RetryPolicy
 import io.buckthornlever.core.serving.RetryReservation
 import io.buckthornlever.core.serving.StableHash
+import io.buckthornlever.core.version.VersionChoice
 import io.buckthornlever.gateway.connection.CallerExchange
 import io.buckthornlever.gateway.connection.CallerReply
 import io.buckthornlever.gateway.connection.CallerRequest
@@ -60,6 +62,7 @@
     private var retry: RetryReservation? = null
     private var queueDeadlineNanos = 0L
     private var isWaiting = false
+    private var drawsOrderedVersion = false
     private var proof = ExecutionProof.NOT_RUN
     private var runs = 0
     private var sends = 0
@@ -97,6 +100,7 @@
     private fun startPlacement() {
         context.retryBudget.onRequest(service, now())
         context.demand.onRequest(service, head.promptTokens, now())
+        drawsOrderedVersion = context.versionOrders.draw(service, RouteName(route.name))
         placeOrQueue(Duration.ofMillis((route.targetLatency.toMillis() * RequestLimits.QUEUE_TIME_SHARE).toLong()))
     }
 
@@ -117,7 +121,7 @@
         val placement = choosePlacement(now)
         if (placement is Placement.Chosen) {
             leaveQueue()
-            send(Attempt(context, this, placement.upstream, head.requestId, head.promptTokens, route.kind == RequestKind.STREAM))
+            send(Attempt(context, this, placement.upstream, head.requestId, head.promptTokens, route))
             return QueueStep.DONE
         }
         if (now < queueDeadlineNanos) return if (triedUpstreams.isEmpty()) QueueStep.SATURATED else QueueStep.BLOCKED
@@ -222,6 +226,7 @@
         val before = proof
         proof = proof.strongerOf(end.proof)
         if (end.proof != ExecutionProof.NOT_RUN) runs++
+        drawsOrderedVersion = false
         if (end is AttemptEnd.Broken) context.poison.requests.onBrokenRun(fingerprint, now())
         if (end is AttemptEnd.Broken && end.isConnectionLost && !attempt.hasOutput) {
             context.poison.parts.onCrash(sharedPartIds, attempt.entry.upstream.id, context.clock.now().toEpochMilli())
@@ -288,15 +293,24 @@
         if (sharedPartIds.isNotEmpty()) context.poison.parts.onOutput(sharedPartIds, context.clock.now().toEpochMilli())
     }
 
-    /** Chooses an upstream of a version that is in service, or of a version that is not yet rather than none. */
-    private fun choosePlacement(now: Long): Placement {
-        val pending = context.pendingVersions.targetOf(service)
-        val placement = context.balancer.choose(placementQuery(pending), now)
-        if (pending == null || placement != Placement.NoUpstream) return placement
-        return context.balancer.choose(placementQuery(null), now)
-    }
+    private fun choosePlacement(now: Long): Placement =
+        when (val versions = context.versionOrders.choice(service, drawsOrderedVersion)) {
+            VersionChoice.Any -> context.balancer.choose(placementQuery(), now)
+            is VersionChoice.Avoiding -> {
+                val placement = context.balancer.choose(placementQuery(excludedVersion = versions.version), now)
+                if (placement == Placement.NoUpstream) context.balancer.choose(placementQuery(), now) else placement
+            }
+            is VersionChoice.Preferring -> {
+                val preferred = context.balancer.choose(placementQuery(requiredVersion = versions.version), now)
+                val other = if (preferred is Placement.Chosen) preferred else context.balancer.choose(placementQuery(), now)
+                if (other == Placement.NoUpstream) preferred else other
+            }
+        }
 
-    private fun placementQuery(excludedVersion: VersionLabel?): PlacementQuery {
+    private fun placementQuery(
+        requiredVersion: VersionLabel? = null,
+        excludedVersion: VersionLabel? = null,
+    ): PlacementQuery {
         val shared = head.sharedParts.ifEmpty { head.promptParts }
         return PlacementQuery(
             service,
@@ -307,6 +321,7 @@
             head.promptTokens,
             triedUpstreams,
             StableHash.of(head.requestId.orEmpty()),
+            requiredVersion,
             excludedVersion,
         )
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
@@ -2,11 +2,11 @@
 
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.core.serving.DemandMeter
-import io.buckthornlever.core.serving.PendingVersions
 import io.buckthornlever.core.serving.ServiceRetryBudget
 import io.buckthornlever.core.serving.ServingTableCache
 import io.buckthornlever.core.serving.UpstreamBalancer
 import io.buckthornlever.core.serving.UsageLedger
+import io.buckthornlever.core.version.VersionOrders
 import io.buckthornlever.gateway.connection.ConnectionPool
 import io.buckthornlever.gateway.process.EventLog
 import io.buckthornlever.gateway.process.GatewayMetrics
@@ -28,7 +28,7 @@
     val pool: ConnectionPool,
     val log: EventLog,
     val metrics: GatewayMetrics,
+    val versionOrders: VersionOrders,
 ) {
-    val pendingVersions: PendingVersions = PendingVersions()
     val queues: PlacementQueues = PlacementQueues(this)
 }
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/FeedWaitTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/FeedWaitTest.kt
@@ -15,6 +15,8 @@
 import io.buckthornlever.api.serving.StateValue
 import io.buckthornlever.api.serving.UpstreamOrder
 import io.buckthornlever.api.serving.UsageWindow
+import io.buckthornlever.api.serving.VersionOrder
+import io.buckthornlever.api.version.MoveStatus
 import io.buckthornlever.core.serving.QuotaBounds
 import io.buckthornlever.core.serving.TableAgeLimits
 import io.buckthornlever.gateway.connection.ServerAddress
@@ -68,6 +70,7 @@
             retryRatio = 0.2,
             retryWindow = Duration.ofSeconds(10),
             retrySlack = 50.0,
+            unprovedVersionPercent = 8,
             leaseTtl = Duration.ofSeconds(3),
             usageWindow = null,
             firstStart = true,
@@ -117,6 +120,13 @@
             done: (Result<StateObject, StateFailure>) -> Unit,
         ) = Unit
 
+        override fun replaceStatus(
+            order: VersionOrder,
+            expected: Long,
+            status: MoveStatus,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
         override fun delete(
             kind: StateKind,
             name: String,
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/InMemoryStore.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/InMemoryStore.kt
@@ -10,6 +10,8 @@
 import io.buckthornlever.api.serving.StatePage
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.VersionOrder
+import io.buckthornlever.api.version.MoveStatus
 import java.time.Duration
 
 /** Store in memory whose calls end at once; the answers of writes can be lost and calls refused. */
@@ -69,6 +71,13 @@
         done: (Result<StateObject, StateFailure>) -> Unit,
     ) = write(objects[kind to name]?.revision != expected, kind, name, value, done)
 
+    override fun replaceStatus(
+        order: VersionOrder,
+        expected: Long,
+        status: MoveStatus,
+        done: (Result<StateObject, StateFailure>) -> Unit,
+    ) = error("not used")
+
     override fun delete(
         kind: StateKind,
         name: String,
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelayTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelayTest.kt
@@ -14,6 +14,8 @@
 import io.buckthornlever.api.serving.StatePage
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.VersionOrder
+import io.buckthornlever.api.version.MoveStatus
 import io.buckthornlever.core.serving.RelayLog
 import io.buckthornlever.gateway.connection.CallerListener
 import io.buckthornlever.gateway.connection.ServerAddress
@@ -168,6 +170,13 @@
             done: (Result<StateObject, StateFailure>) -> Unit,
         ) = Unit
 
+        override fun replaceStatus(
+            order: VersionOrder,
+            expected: Long,
+            status: MoveStatus,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
         override fun delete(
             kind: StateKind,
             name: String,
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
@@ -11,6 +11,8 @@
 import io.buckthornlever.api.serving.StatePage
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.VersionOrder
+import io.buckthornlever.api.version.MoveStatus
 import io.netty.channel.nio.NioEventLoopGroup
 import java.time.Duration
 import java.util.concurrent.LinkedBlockingQueue
@@ -160,6 +162,13 @@
             done: (Result<StateObject, StateFailure>) -> Unit,
         ) = Unit
 
+        override fun replaceStatus(
+            order: VersionOrder,
+            expected: Long,
+            status: MoveStatus,
+            done: (Result<StateObject, StateFailure>) -> Unit,
+        ) = Unit
+
         override fun delete(
             kind: StateKind,
             name: String,
