Keep the upstreams of a version that has replaced the others

Cause: when an order has succeeded, the platform stops the upstreams of all other versions at once, but their registrations stay for a while.

Change: once a version has replaced the others, the plan does not count the other upstreams that it knew before then for 30 s, and keeps on-demand upstreams until reclaimable ones are warm, as after a first start.

Result: CapacityPlanTest, a new test; it names the new type, so it does not compile on the code before.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
@@ -3,7 +3,6 @@
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.serving.ScalingLimits
 import io.buckthornlever.api.serving.UpstreamOrder
-import io.buckthornlever.api.version.VersionLabel
 import kotlin.math.ceil
 
 /**
@@ -23,8 +22,8 @@
     private var extraOnDemand = 0
     private var extraOnDemandUntil = Long.MIN_VALUE
     private var reclaimableUnavailableUntil = Long.MIN_VALUE
-    private var trialVersion: VersionLabel? = null
-    private var trialSince = Long.MIN_VALUE
+    private var ordered: OrderedVersion? = null
+    private var orderedSince = Long.MIN_VALUE
     private val warmedUpDomains = HashSet<FailureDomain>()
 
     /** Records that the platform had no reclaimable upstreams available. */
@@ -38,8 +37,8 @@
      *
      * @param tokensPerSecond recent demand in prompt tokens per second
      * @param evacuated failure domains whose upstreams get no requests
-     * @param trialVersion version whose upstreams run beside those that carry the load and must not be stopped in exchange for them;
-     * null if there is none
+     * @param ordered version that an operator has ordered; until it has replaced the others, its upstreams run beside those that carry
+     * the load and must not be stopped in exchange for them
      */
     public fun orders(
         limits: ScalingLimits,
@@ -48,21 +47,42 @@
         tokensPerSecond: Double,
         nanos: Long,
         evacuated: Set<FailureDomain> = emptySet(),
-        trialVersion: VersionLabel? = null,
+        ordered: OrderedVersion? = null,
     ): List<UpstreamOrder> {
-        if (trialVersion != this.trialVersion) {
-            this.trialVersion = trialVersion
-            trialSince = nanos
+        updateOrdered(ordered, nanos)
+        val running = upstreams.filter { it.upstream.service == service && !it.upstream.leaving }
+        if (ordered == null) return plan(limits, domains, upstreams, running, tokensPerSecond, nanos, evacuated)
+        if (ordered.hasReplacedOthers) {
+            val left = running.filterNot { isBeingReplaced(it, ordered, nanos) }
+            return plan(limits, domains, upstreams, left, tokensPerSecond, nanos, evacuated)
         }
         // Those that have not registered yet would be stopped by an order that does not count them.
-        if (trialVersion != null && nanos < trialSince + REGISTRATION_NANOS) return emptyList()
-        val running = upstreams.filter { it.upstream.service == service && !it.upstream.leaving }
-        val carrying = running.filter { it.upstream.version != trialVersion }.ifEmpty { running }
+        if (nanos < orderedSince + REGISTRATION_NANOS) return emptyList()
+        val carrying = running.filter { it.upstream.version != ordered.version }.ifEmpty { running }
         val planned = plan(limits, domains, upstreams, carrying, tokensPerSecond, nanos, evacuated)
         val trial = running - carrying.toSet()
         return if (trial.isEmpty()) planned else planned.mapNotNull { besideTrial(it, limits, running, trial) }
     }
 
+    private fun updateOrdered(
+        current: OrderedVersion?,
+        nanos: Long,
+    ) {
+        if (current == ordered) return
+        ordered = current
+        orderedSince = nanos
+        // The upstreams that have become warm in these domains are being replaced.
+        if (current?.hasReplacedOthers == true) warmedUpDomains.clear()
+    }
+
+    /** True for an upstream that the platform has stopped although it is still registered. */
+    private fun isBeingReplaced(
+        entry: UpstreamEntry,
+        ordered: OrderedVersion,
+        nanos: Long,
+    ): Boolean =
+        entry.upstream.version != ordered.version && entry.firstSeenNanos < orderedSince && nanos < orderedSince + UNREGISTRATION_NANOS
+
     /** Adds the [trial] upstreams to [order], which counts all upstreams; null if the platform's limit leaves no room for both. */
     private fun besideTrial(
         order: UpstreamOrder,
@@ -223,6 +243,9 @@
         /** Time for the other upstreams to register after the first one was seen. */
         const val REGISTRATION_NANOS = 2_500_000_000L
 
+        /** Time within which the registrations of upstreams that the platform has stopped are gone. */
+        const val UNREGISTRATION_NANOS = 30_000_000_000L
+
         /** Time for which demand has to stay lower before upstreams are stopped; a start and a cold phase take several seconds. */
         const val SCALE_DOWN_DELAY_NANOS = 20_000_000_000L
     }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionOrders.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionOrders.kt
@@ -10,6 +10,7 @@
 import io.buckthornlever.api.version.MoveStatus
 import io.buckthornlever.api.version.VersionLabel
 import io.buckthornlever.api.version.VersionMove
+import io.buckthornlever.core.serving.OrderedVersion
 import java.time.Duration
 import java.time.Instant
 import java.time.temporal.ChronoUnit
@@ -66,11 +67,11 @@
     /** The order for [service], null if there is none. */
     public fun orderFor(service: PoolName): VersionOrder? = orders[service]?.order
 
-    /** Version whose upstreams run beside those of [service] until its move has ended, or after a rollback; null if there is none. */
-    public fun trialVersion(service: String): VersionLabel? {
+    /** Version that [service] has been ordered to move to, also after a rollback; null without an order. */
+    public fun orderedVersion(service: String): OrderedVersion? {
         val name = PoolName(service)
-        if (statuses.any { it.move.pool == name && it.state == MoveState.DONE }) return null
-        return orders[name]?.order?.target
+        val target = orders[name]?.order?.target ?: return null
+        return OrderedVersion(target, statuses.any { it.move.pool == name && it.state == MoveState.DONE })
     }
 
     /**
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/CapacityPlanTest.kt
@@ -113,9 +113,9 @@
     fun `upstreams of a version on trial are not stopped in exchange for those that carry the load`() {
         register("od", 2, reclaimable = false)
         val before = orders(180_000, REGISTERED)
-        val trial = VersionLabel("v2")
+        val trial = OrderedVersion(VersionLabel("v2"), hasReplacedOthers = false)
         assertTrue(ordersBeside(trial, REGISTERED + 1).isEmpty())
-        register("trial", 1, reclaimable = false, version = trial)
+        register("trial", 1, reclaimable = false, version = trial.version)
         val beside = ordersBeside(trial, REGISTERED * 2 + 1)
         assertEquals(before.map { if (it.reclaimable) it else it.copy(count = it.count + 1) }, beside)
     }
@@ -124,18 +124,33 @@
     fun `reclaimable upstreams are not ordered where the limit leaves no room beside a version on trial`() {
         register("od", 2, reclaimable = false)
         orders(180_000, REGISTERED)
-        val trial = VersionLabel("v2")
+        val trial = OrderedVersion(VersionLabel("v2"), hasReplacedOthers = false)
         ordersBeside(trial, REGISTERED + 1)
-        register("trial", limits.maximum - 2, reclaimable = false, version = trial)
+        register("trial", limits.maximum - 2, reclaimable = false, version = trial.version)
         val orders = ordersBeside(trial, REGISTERED * 2 + 1)
         assertEquals(List(domains.size) { limits.maximum }, orders.map { it.count })
         assertTrue(orders.none { it.reclaimable })
     }
 
+    @Test
+    fun `the upstreams of a version that has replaced the others stay until reclaimable ones of it are warm`() {
+        register("spot", 3, reclaimable = true)
+        orders(180_000, REGISTERED + LONG_AFTER)
+        val trial = OrderedVersion(VersionLabel("v2"), hasReplacedOthers = false)
+        ordersBeside(trial, REGISTERED + LONG_AFTER + 1)
+        register("new", 3, reclaimable = false, version = trial.version)
+        val after = ordersBeside(trial.copy(hasReplacedOthers = true), REGISTERED + LONG_AFTER * 2)
+        assertEquals(listOf(3, 3, 3), after.filter { !it.reclaimable }.map { it.count })
+        balancer.upstreams.filter { it.upstream.reclaimable }.map { it.upstream.id }.forEach(balancer::onUnregistered)
+        register("newspot", 3, reclaimable = true, version = trial.version)
+        val warm = ordersBeside(trial.copy(hasReplacedOthers = true), REGISTERED + LONG_AFTER * 2 + 1)
+        assertTrue(warm.filter { !it.reclaimable }.sumOf { it.count } < 9, "$warm")
+    }
+
     private fun ordersBeside(
-        trial: VersionLabel?,
+        trial: OrderedVersion?,
         nanos: Long,
-    ): List<UpstreamOrder> = plan.orders(limits, domains, balancer.upstreams.toList(), 180_000.0, nanos, trialVersion = trial)
+    ): List<UpstreamOrder> = plan.orders(limits, domains, balancer.upstreams.toList(), 180_000.0, nanos, ordered = trial)
 
     private fun orders(
         tokensPerSecond: Int,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -132,7 +132,7 @@
             duties,
             balancer,
             demand,
-            versionOrders::trialVersion,
+            versionOrders::orderedVersion,
             log,
             dutyRunner::onSuperseded,
         )
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/UpstreamOrderSender.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/UpstreamOrderSender.kt
@@ -6,16 +6,16 @@
 import io.buckthornlever.api.serving.ServingTable
 import io.buckthornlever.api.serving.SingletonDuties
 import io.buckthornlever.api.serving.UpstreamOrder
-import io.buckthornlever.api.version.VersionLabel
 import io.buckthornlever.core.serving.CapacityPlan
 import io.buckthornlever.core.serving.DemandMeter
+import io.buckthornlever.core.serving.OrderedVersion
 import io.buckthornlever.core.serving.UpstreamBalancer
 import io.buckthornlever.core.serving.UpstreamOrderSchedule
 
 /**
  * Sends the upstream orders of the capacity plans to the platform while this instance holds the duty lease.
  *
- * @param trialVersion version whose upstreams run beside those that carry the load of a service, null if there is none
+ * @param orderedVersion version that an operator has ordered a service to move to, null if there is none
  */
 internal class UpstreamOrderSender(
     private val self: String,
@@ -24,7 +24,7 @@
     private val duties: SingletonDuties,
     private val balancer: UpstreamBalancer,
     private val demand: DemandMeter,
-    private val trialVersion: (service: String) -> VersionLabel?,
+    private val orderedVersion: (service: String) -> OrderedVersion?,
     private val log: EventLog,
     private val onSuperseded: (Long) -> Unit,
 ) {
@@ -48,7 +48,15 @@
             val plan = plans.getOrPut(service.name) { CapacityPlan(service.name) }
             val tokensPerSecond = demand.tokensPerSecond(service.name, now)
             plan
-                .orders(limits, domains, balancer.upstreams.toList(), tokensPerSecond, now, balancer.evacuated, trialVersion(service.name))
+                .orders(
+                    limits,
+                    domains,
+                    balancer.upstreams.toList(),
+                    tokensPerSecond,
+                    now,
+                    balancer.evacuated,
+                    orderedVersion(service.name),
+                )
                 .filter { schedule.isDue(it, runningCount(it), now) }
                 .forEach { send(it, fencing, now) }
         }
