Keep to what upstreams say in responses about leaving and pausing

Callers waited for upstreams that had turned away, and got a constant Retry-After.

Cause: neither header was read; only registrations said that an upstream leaves.

Change: UpstreamStatements holds what an upstream has said for the life of its process, beside the limit of requests. One that leaves gets nothing more, also while the store is silent and after it has registered again; another `born` of the registration begins a new life. One that pauses gets nothing until its time is over (at most five minutes; one second if the time cannot be read), then one request, and two more for each response. When all upstreams that could take a request pause beyond its wait, it is refused at once with the earliest return. The entry of an upstream whose registration is gone is kept, 1,000 at most, while it has said something or may still say it in a response.

Other instances are not told: the pause is meant for one instance, and each one hears of a leaving upstream with its own first response, or from the store.

--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/DiscoveredUpstream.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/DiscoveredUpstream.kt
@@ -17,6 +17,7 @@
  * @property leaving true once it has announced that it will shut down
  * @property coldFor remaining warm-up time, during which it can take only little load; zero when warm
  * @property reclaimable true when the cloud may reclaim it at short notice
+ * @property bornMillis start of its process in milliseconds since the epoch; null if it does not say
  */
 @Serializable
 public data class DiscoveredUpstream(
@@ -30,4 +31,5 @@
     val leaving: Boolean,
     val coldFor: Duration,
     val reclaimable: Boolean,
+    val bornMillis: Long? = null,
 )
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -22,6 +22,7 @@
     private val clock: Clock,
 ) {
     private val entries = LinkedHashMap<UpstreamId, UpstreamEntry>()
+    private val formerEntries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val coldLimiter = ColdRateLimiter(self, clock.monotonicNanos())
     private val statedRateShares = StatedRateShares(self)
     private var table: ServingTable? = null
@@ -54,8 +55,8 @@
         upstream: DiscoveredUpstream,
         nanos: Long,
     ) {
-        val known = entries[upstream.id]
-        val entry = if (known == null || isDifferentProcess(known.upstream, upstream)) UpstreamEntry(upstream, nanos) else known
+        val known = entries[upstream.id]?.takeUnless { isDifferentProcess(it.upstream, upstream) }
+        val entry = known ?: formerEntry(upstream) ?: UpstreamEntry(upstream, nanos)
         entries[upstream.id] = entry
         entry.upstream = upstream
         entry.lapsedAt = null
@@ -65,7 +66,7 @@
 
     /** Removes the upstream [id], whose registration is gone. */
     public fun onUnregistered(id: UpstreamId) {
-        entries.remove(id)
+        entries.remove(id)?.let(::rememberEntry)
         coldLimiter.remove(id)
         statedRateShares.remove(id)
     }
@@ -79,7 +80,7 @@
         nanos: Long,
     ) {
         val entry = entries[id] ?: return
-        if (entry.announcedLeaving) onUnregistered(id) else entry.lapsedAt = entry.lapsedAt ?: nanos
+        if (entry.announcedLeaving || entry.isLeaving) onUnregistered(id) else entry.lapsedAt = entry.lapsedAt ?: nanos
     }
 
     /** Removes and returns the upstreams whose registration lapsed before [nanos]. */
@@ -102,22 +103,32 @@
     public fun onLimitStated(
         entry: UpstreamEntry,
         limit: StatedLimit,
-    ): Boolean {
-        if (limit == entry.statedLimit) return false
-        entry.statedLimit = limit
-        entry.requestsPerSecond =
-            when (limit) {
-                StatedLimit.None -> null
-                is StatedLimit.PerSecond -> limit.rate
-                StatedLimit.Unreadable -> entry.requestsPerSecond
-            }
-        return true
+    ): Boolean = entry.statements.onLimit(limit)
+
+    /** Records that [entry] says that it leaves; returns true if it has not said so before. It gets no more requests in its life. */
+    public fun onLeavingStated(
+        entry: UpstreamEntry,
+        nanos: Long,
+    ): Boolean = entry.statements.onLeaving(nanos)
+
+    /**
+     * Records the [pause] that [entry] asks for with a response, and returns how long it gets no requests; null for a response that
+     * asks for none.
+     */
+    public fun onPauseStated(
+        entry: UpstreamEntry,
+        pause: StatedPause,
+        nanos: Long,
+    ): Duration? {
+        val time = entry.statements.onPause(pause, nanos)
+        if (time == null) entry.statements.onResponse(nanos)
+        return time
     }
 
     /** Slots of the upstreams of [service] that get requests, by version. */
     public fun slotsByVersion(service: String): Map<VersionLabel, Int> =
         entries.values
-            .filter { it.upstream.service == service && !it.upstream.leaving && it.upstream.domain !in evacuated }
+            .filter { it.upstream.service == service && !it.isLeaving && it.upstream.domain !in evacuated }
             .groupingBy { it.upstream.version }
             .fold(0) { sum, entry -> sum + entry.upstream.slots }
 
@@ -129,10 +140,20 @@
         var best: UpstreamEntry? = null
         var bestCost = Double.MAX_VALUE
         var busy = false
+        var returnNanos = Long.MAX_VALUE
+        var untriedReturnNanos = Long.MAX_VALUE
         val affinity = affinityUpstream(query)
         val median = medianFailureRate(query.service)
         for (entry in entries.values) {
             if (!isEligible(entry, query)) continue
+            val isTried = entry.upstream.id in query.tried
+            if (entry.statements.isPaused(nanos)) {
+                val end = entry.statements.pausedUntilNanos ?: nanos
+                returnNanos = minOf(returnNanos, end)
+                if (!isTried) untriedReturnNanos = minOf(untriedReturnNanos, end)
+                continue
+            }
+            if (isTried) continue
             if (!hasCapacity(entry, nanos)) {
                 busy = true
                 continue
@@ -147,6 +168,8 @@
             Placement.Chosen(best)
         } else if (busy) {
             Placement.Busy
+        } else if (returnNanos != Long.MAX_VALUE) {
+            Placement.Paused(returnNanos, untriedReturnNanos.takeIf { it != Long.MAX_VALUE })
         } else {
             Placement.NoUpstream
         }
@@ -161,6 +184,7 @@
         entry.inFlight++
         entry.pendingTokens += tokens
         entry.lastSentNanos = nanos
+        entry.statements.onSent()
         if (entry.isCold(nanos)) coldLimiter.onSent(entry.upstream.id, coldRate(entry), nanos)
     }
 
@@ -205,16 +229,33 @@
     private fun isDifferentProcess(
         old: DiscoveredUpstream,
         new: DiscoveredUpstream,
-    ): Boolean = old.host != new.host || old.port != new.port || old.service != new.service
+    ): Boolean =
+        old.host != new.host ||
+            old.port != new.port ||
+            old.service != new.service ||
+            (old.bornMillis != null && new.bornMillis != null && old.bornMillis != new.bornMillis)
+
+    /** Keeps [entry], which has said something or may still say it in responses, in case its process registers again. */
+    private fun rememberEntry(entry: UpstreamEntry) {
+        val isOfUse = entry.inFlight > 0 || entry.statements.isBinding(clock.monotonicNanos())
+        if (entry.upstream.bornMillis == null || !isOfUse) return
+        formerEntries.remove(entry.upstream.id)
+        formerEntries[entry.upstream.id] = entry
+        if (formerEntries.size > MAX_FORMER_ENTRIES) formerEntries.remove(formerEntries.keys.first())
+    }
+
+    private fun formerEntry(upstream: DiscoveredUpstream): UpstreamEntry? =
+        formerEntries.remove(upstream.id)?.takeIf {
+            it.upstream.bornMillis == upstream.bornMillis && !isDifferentProcess(it.upstream, upstream)
+        }
 
     private fun isEligible(
         entry: UpstreamEntry,
         query: PlacementQuery,
     ): Boolean =
         entry.upstream.service == query.service &&
-            !entry.upstream.leaving &&
+            !entry.isLeaving &&
             entry.upstream.domain !in evacuated &&
-            entry.upstream.id !in query.tried &&
             query.allows(entry.upstream.version)
 
     private fun hasCapacity(
@@ -224,13 +265,14 @@
         nanos >= entry.ejectedUntil &&
             entry.load < entry.upstream.slots &&
             (!entry.isCold(nanos) || coldRate(entry) <= 0 || coldLimiter.permits(entry.upstream.id, coldRate(entry), nanos)) &&
-            permitsStatedRate(entry, nanos)
+            permitsStatedRate(entry, nanos) &&
+            entry.statements.permitsAfterPause(entry.lastSentNanos, nanos)
 
     private fun permitsStatedRate(
         entry: UpstreamEntry,
         nanos: Long,
     ): Boolean {
-        val perSecond = entry.requestsPerSecond ?: return true
+        val perSecond = entry.statements.requestsPerSecond ?: return true
         val interval = statedRateShares.interval(entry.upstream.id, perSecond, clock.now()) ?: return false
         return nanos - entry.lastSentNanos >= interval.toNanos()
     }
@@ -240,7 +282,7 @@
     private fun affinityUpstream(query: PlacementQuery): UpstreamEntry? {
         val key = query.sharedParts.lastOrNull() ?: return null
         return entries.values
-            .filter { it.upstream.service == query.service && !it.upstream.leaving && it.upstream.domain !in evacuated }
+            .filter { it.upstream.service == query.service && !it.isLeaving && it.upstream.domain !in evacuated }
             .filter { query.allows(it.upstream.version) }
             .maxByOrNull { StableHash.combine(key, it.hash) }
     }
@@ -294,6 +336,9 @@
 
         const val MAX_EJECTION_DOUBLINGS = 3
 
+        /** Upstreams that are kept although they are no longer registered. */
+        const val MAX_FORMER_ENTRIES = 1_000
+
         /** Ejection time after the first failure to reach an upstream. */
         val BASE_EJECTION_TIME: Duration = Duration.ofMillis(500)
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
@@ -16,17 +16,15 @@
     internal var lapsedAt: Long? = null
     internal var announcedLeaving = false
     internal var lastSentNanos = Long.MIN_VALUE / 2
-    internal var statedLimit: StatedLimit = StatedLimit.None
     internal val hash: Long = StableHash.of(upstream.id.value)
 
+    /** What it has said about itself in its responses. */
+    public val statements: UpstreamStatements = UpstreamStatements()
+
     /** Its latest registration. */
     public var upstream: DiscoveredUpstream = upstream
         internal set
 
-    /** Requests per second that the upstream takes from all instances together, as it said last; null without a limit. */
-    public var requestsPerSecond: Double? = null
-        internal set
-
     /** Requests from this instance that are in flight at the upstream. */
     public var inFlight: Int = 0
         internal set
@@ -34,6 +32,9 @@
     /** Requests of all instances: those of other instances as of its last report, and those in flight from this instance. */
     public val load: Int get() = inFlight + loadOfOtherInstances
 
+    /** True once it has announced its end, in its registration or in a response. */
+    public val isLeaving: Boolean get() = upstream.leaving || statements.leavingSinceNanos != null
+
     /** True while the upstream is cold and can take only a limited request rate. */
     public fun isCold(nanos: Long): Boolean = nanos < coldUntil
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -173,14 +173,21 @@
             callerListener.openConnections.toDouble()
         }
         metrics.registerGauge("buckthornlever_upstreams", "Upstreams that have not announced their end") {
-            balancer.upstreams.count { !it.upstream.leaving }.toDouble()
+            balancer.upstreams.count { !it.isLeaving }.toDouble()
         }
         metrics.registerGauge("buckthornlever_requests_waiting", "Requests that wait for room") { context.queues.waitingCount.toDouble() }
         metrics.registerGauge("buckthornlever_version_orders", "Services that operators have ordered to another version") {
             versionOrders.size.toDouble()
         }
         metrics.registerGauge("buckthornlever_limited_upstreams", "Upstreams that state a limit of requests") {
-            balancer.upstreams.count { it.requestsPerSecond != null }.toDouble()
+            balancer.upstreams.count { it.statements.requestsPerSecond != null }.toDouble()
+        }
+        metrics.registerGauge("buckthornlever_paused_upstreams", "Upstreams that want no requests from this instance for a time") {
+            val now = clock.monotonicNanos()
+            balancer.upstreams.count { it.statements.isPaused(now) }.toDouble()
+        }
+        metrics.registerGauge("buckthornlever_leaving_upstreams", "Registered upstreams that have announced their end") {
+            balancer.upstreams.count { it.isLeaving }.toDouble()
         }
         metrics.registerGauge("buckthornlever_blocked_prompt_parts", "Prompt parts blocked since runs with them crashed upstreams") {
             poisonParts.blocked.size.toDouble()
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -31,6 +31,8 @@
     VERSION_STOPPED("BL-2210", Level.WARN, "ordered version gets no more requests since it is worse than the others"),
     VERSION_MOVE_ENDED("BL-2211", Level.WARN, "move to an ordered version ended"),
     VERSION_STATUS_NOT_RECORDED("BL-2212", Level.WARN, "progress of a version order could not be recorded"),
+    UPSTREAM_LEAVES("BL-2213", Level.INFO, "upstream says in a response that it leaves"),
+    UPSTREAM_PAUSED("BL-2214", Level.INFO, "upstream turns away and wants no requests for a time"),
     REQUEST_REFUSED("BL-2301", Level.INFO, "request refused before it was placed"),
     REQUEST_FINISHED("BL-2302", Level.INFO, "request finished"),
     ATTEMPT_ENDED("BL-2303", Level.INFO, "attempt ended without a usable answer"),
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -112,7 +112,7 @@
         head.running?.let { context.balancer.onLoadReported(entry, it, head.waiting) }
         head.coldFor?.let { context.balancer.onColdReported(entry, it, progressNanos) }
         // A misdirected request was answered by another upstream, at an address that is in use again.
-        if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) recordLimit(head.limit)
+        if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) recordStatements(head)
         if (head.notRun) return HeadDecision.ACCEPT
         val success = response.status().code() in SUCCESS
         if (success && !hasProofOfOrigin(head, response)) {
@@ -129,13 +129,28 @@
         return HeadDecision.ACCEPT
     }
 
+    private fun recordStatements(head: UpstreamResponseHead) {
+        recordLimit(head.limit)
+        if (head.leaving && context.balancer.onLeavingStated(entry, progressNanos)) {
+            context.log.write(GatewayEvent.UPSTREAM_LEAVES, "upstream" to entry.upstream.id, "inFlight" to entry.inFlight)
+        }
+        val pause = context.balancer.onPauseStated(entry, head.pause, progressNanos) ?: return
+        context.log.write(
+            GatewayEvent.UPSTREAM_PAUSED,
+            "upstream" to entry.upstream.id,
+            "stated" to head.pause,
+            "millis" to pause.toMillis(),
+            "inFlight" to entry.inFlight,
+        )
+    }
+
     private fun recordLimit(limit: StatedLimit) {
         if (!context.balancer.onLimitStated(entry, limit)) return
         context.log.write(
             GatewayEvent.UPSTREAM_LIMIT_CHANGED,
             "upstream" to entry.upstream.id,
             "stated" to limit,
-            "perSecond" to entry.requestsPerSecond,
+            "perSecond" to entry.statements.requestsPerSecond,
         )
     }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -124,6 +124,11 @@
             send(Attempt(context, this, placement.upstream, head.requestId, head.promptTokens, route))
             return QueueStep.DONE
         }
+        if (placement is Placement.Paused && (placement.untriedReturnNanos ?: Long.MAX_VALUE) >= queueDeadlineNanos) {
+            leaveQueue()
+            giveUp("all upstreams ask to be left alone", Duration.ofNanos(placement.returnNanos - now).plusMillis(1))
+            return QueueStep.DONE
+        }
         if (now < queueDeadlineNanos) return if (triedUpstreams.isEmpty()) QueueStep.SATURATED else QueueStep.BLOCKED
         leaveQueue()
         giveUp(if (placement is Placement.Busy) "no upstream is free" else "no upstream is available", RequestLimits.RETRY_AFTER)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/UpstreamResponseHead.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/UpstreamResponseHead.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.gateway.request
 
 import io.buckthornlever.core.serving.StatedLimit
+import io.buckthornlever.core.serving.StatedPause
 import java.time.Duration
 
 /**
@@ -13,6 +14,8 @@
  * @property waiting number of requests that wait at the upstream
  * @property coldFor how long the upstream stays cold, that is, bears little load; null if not reported
  * @property limit what the upstream says about the requests that it takes from all instances together
+ * @property leaving true if the upstream says that it will shut down
+ * @property pause for how long the upstream, which turns the request away, wants none from this instance
  */
 public data class UpstreamResponseHead(
     val requestId: String?,
@@ -22,4 +25,6 @@
     val waiting: Int,
     val coldFor: Duration?,
     val limit: StatedLimit = StatedLimit.None,
+    val leaving: Boolean = false,
+    val pause: StatedPause = StatedPause.None,
 )
