Look for paused upstreams only when none can take a request

The search for the earliest return moves out of the loop over all upstreams, which it does not slow down there, and the counters of usage and demand go together.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -140,22 +140,12 @@
         var best: UpstreamEntry? = null
         var bestCost = Double.MAX_VALUE
         var busy = false
-        var returnNanos = Long.MAX_VALUE
-        var untriedReturnNanos = Long.MAX_VALUE
         val affinity = affinityUpstream(query)
         val median = medianFailureRate(query.service)
         for (entry in entries.values) {
-            if (!isEligible(entry, query)) continue
-            val isTried = entry.upstream.id in query.tried
-            if (entry.statements.isPaused(nanos)) {
-                val end = entry.statements.pausedUntilNanos ?: nanos
-                returnNanos = minOf(returnNanos, end)
-                if (!isTried) untriedReturnNanos = minOf(untriedReturnNanos, end)
-                continue
-            }
-            if (isTried) continue
+            if (!isEligible(entry, query) || entry.upstream.id in query.tried) continue
             if (!hasCapacity(entry, nanos)) {
-                busy = true
+                busy = busy || !entry.statements.isPaused(nanos)
                 continue
             }
             val cost = cost(entry, query, entry === affinity, median, nanos)
@@ -168,13 +158,21 @@
             Placement.Chosen(best)
         } else if (busy) {
             Placement.Busy
-        } else if (returnNanos != Long.MAX_VALUE) {
-            Placement.Paused(returnNanos, untriedReturnNanos.takeIf { it != Long.MAX_VALUE })
         } else {
-            Placement.NoUpstream
+            pausedOrNone(query, nanos)
         }
     }
 
+    private fun pausedOrNone(
+        query: PlacementQuery,
+        nanos: Long,
+    ): Placement {
+        val paused = entries.values.filter { isEligible(it, query) && it.statements.isPaused(nanos) }
+        val returnNanos = paused.mapNotNull { it.statements.pausedUntilNanos }.minOrNull() ?: return Placement.NoUpstream
+        val untried = paused.filter { it.upstream.id !in query.tried }
+        return Placement.Paused(returnNanos, untried.mapNotNull { it.statements.pausedUntilNanos }.minOrNull())
+    }
+
     /** Records that a request with [tokens] prompt tokens is sent to [entry]. */
     public fun onRequestSent(
         entry: UpstreamEntry,
@@ -263,6 +261,7 @@
         nanos: Long,
     ): Boolean =
         nanos >= entry.ejectedUntil &&
+            !entry.statements.isPaused(nanos) &&
             entry.load < entry.upstream.slots &&
             (!entry.isCold(nanos) || coldRate(entry) <= 0 || coldLimiter.permits(entry.upstream.id, coldRate(entry), nanos)) &&
             permitsStatedRate(entry, nanos) &&
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionMoves.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionMoves.kt
@@ -92,7 +92,7 @@
         lease: HeldLease?,
     ): List<MoveCommand> = tick(now, lease) { true }
 
-    /** Like the other [tick], but the new version's share of a pool is not raised while [canCarryLoad] says that it has too few upstreams. */
+    /** Like the other [tick], but a new version's share is not raised while [canCarryLoad] says that it has too few upstreams. */
     public fun tick(
         now: Instant,
         lease: HeldLease?,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -37,6 +37,7 @@
 import io.buckthornlever.gateway.request.PoisonGuard
 import io.buckthornlever.gateway.request.RequestAdmission
 import io.buckthornlever.gateway.request.ServingContext
+import io.buckthornlever.gateway.request.TrafficCounters
 import io.netty.channel.EventLoop
 import java.time.Duration
 import java.util.concurrent.TimeUnit
@@ -95,8 +96,7 @@
             quotaCharger,
             retryBudget,
             PoisonGuard(poisonRequests, poisonParts),
-            usageLedger,
-            demand,
+            TrafficCounters(usageLedger, demand),
             pool,
             log,
             metrics,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -99,7 +99,7 @@
 
     private fun startPlacement() {
         context.retryBudget.onRequest(service, now())
-        context.demand.onRequest(service, head.promptTokens, now())
+        context.counters.demand.onRequest(service, head.promptTokens, now())
         drawsOrderedVersion = context.versionOrders.draw(service, RouteName(route.name))
         placeOrQueue(Duration.ofMillis((route.targetLatency.toMillis() * RequestLimits.QUEUE_TIME_SHARE).toLong()))
     }
@@ -152,7 +152,7 @@
         if (isUsageCounted || account == null) return
         isUsageCounted = true
         val startMillis = if (route.kind == RequestKind.STREAM) context.clock.now().toEpochMilli() else attempt.sentMillis
-        context.usage.onStarted(account.id, startMillis)
+        context.counters.usage.onStarted(account.id, startMillis)
     }
 
     override fun onStreamHead(
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
@@ -1,11 +1,9 @@
 package io.buckthornlever.gateway.request
 
 import io.buckthornlever.api.process.Clock
-import io.buckthornlever.core.serving.DemandMeter
 import io.buckthornlever.core.serving.ServiceRetryBudget
 import io.buckthornlever.core.serving.ServingTableCache
 import io.buckthornlever.core.serving.UpstreamBalancer
-import io.buckthornlever.core.serving.UsageLedger
 import io.buckthornlever.core.version.VersionOrders
 import io.buckthornlever.gateway.connection.ConnectionPool
 import io.buckthornlever.gateway.process.EventLog
@@ -23,8 +21,7 @@
     val quotas: QuotaCharger,
     val retryBudget: ServiceRetryBudget,
     val poison: PoisonGuard,
-    val usage: UsageLedger,
-    val demand: DemandMeter,
+    val counters: TrafficCounters,
     val pool: ConnectionPool,
     val log: EventLog,
     val metrics: GatewayMetrics,
