--- a/review/standins/StaleLoad.java
+++ b/review/standins/StaleLoad.java
@@ -10,13 +10,13 @@
  * that are sent later than {@code recovery_s} after the machines are back have to be served again.
  */
 final class StaleLoad {
-    private static final int GATEWAYS = 20;
+    private static final int GATEWAYS = 30;
     private static final int SERVERS = 3;
     private static final int SLOTS = 6;
     private static final int QUEUE = 24;
     private static final int WORK_MILLIS = 43;
-    private static final int CLIENTS = 150;
-    private static final double HOT_SHARE = 0.6;
+    private static final int CLIENTS = 120;
+    private static final double HOT_SHARE = 0.9;
     private static final double HOT_FACTOR = 7.5;
     private static final int HOT_MILLIS = 6_500;
     private static final int PERIOD_MILLIS = 1_500;
