--- a/review/standins/RolloutEnd.java
+++ b/review/standins/RolloutEnd.java
@@ -20,7 +20,7 @@
     private static final int EVENTS = 40;
     private static final int EVENT_MILLIS = 150;
     private static final int TIME_LIMIT_MILLIS = 12_000;
-    private static final int DURATION_SECONDS = 15;
+    private static final int DURATION_SECONDS = 12;
     private static final int RETRY_MILLIS = 300;
     private static final int BEFORE_MILLIS = 8_000;
     private static final int REST_MILLIS = 8_000;
--- a/review/standins/Server.java
+++ b/review/standins/Server.java
@@ -16,7 +16,7 @@
 final class Server implements AutoCloseable {
     /** Work of a server on a request. */
     interface Work {
-        /** Writes the answer; returns false to end the channel. */
+        /** Writes the answer; returns false to reset the channel instead. */
         boolean run(Http.Message request, OutputStream out) throws Exception;
     }
 
@@ -114,7 +114,9 @@
             while (true) {
                 Http.Message request = Http.read(in, false);
                 if (!request.complete()) return;
-                if (!handle(request, out)) return;
+                if (handle(request, out)) continue;
+                socket.setSoLinger(true, 0);
+                return;
             }
         } catch (IOException e) {
             // The other end has closed the channel.
