review: show that a kill of all instances loses the crashing prompt parts

Cause: the evidence of PoisonPartTracker on prompt parts that crash upstreams is in memory only. After a kill of all instances each part has to crash three upstreams again before it is blocked.

Change: a script shows that requests with such a part reach upstreams long after the fifth crash (BUDGET). It takes the place of case 5, a roll-out that cuts streams as it succeeds: that rule speaks of sound servers, and the old servers have been stopped by then.

--- a/review/standins/Platform.java
+++ b/review/standins/Platform.java
@@ -56,13 +56,6 @@
         notifyAll();
     }
 
-    /** State in the status of a roll-out; null before the system has written one. */
-    synchronized String rolloutState(String service) {
-        Map<String, Object> rollout = kind("rollouts").get(service);
-        if (rollout == null || rollout.get("status") == null) return null;
-        return (String) Json.object(rollout.get("status")).get("state");
-    }
-
     @Override
     public void close() {
         server.stop(0);
--- a/review/standins/Server.java
+++ b/review/standins/Server.java
@@ -97,6 +97,10 @@
         listener.close();
     }
 
+    boolean stopped() {
+        return listener.isClosed();
+    }
+
     /** Stops at once, as a process that is killed: its channels are reset. */
     void stop() throws IOException {
         listener.close();
