--- a/review/standins/ForgottenPart.java
+++ b/review/standins/ForgottenPart.java
@@ -177,7 +177,7 @@
             Thread.sleep(random.nextInt(PERIOD_MILLIS));
             while (true) {
                 long next = record.millis() + PERIOD_MILLIS;
-                Client.Answer answer = send(kept, "", random.nextInt(SHARED_PARTS));
+                Client.Answer answer = send(kept, "", random.nextInt(SHARED_PARTS), record.millis() + TIME_LIMIT_MILLIS);
                 if (answer.status() == 200 && answer.complete()) served.incrementAndGet();
                 else if (answer.status() == 200) cut.incrementAndGet();
                 Thread.sleep(Math.max(0, next - record.millis()));
@@ -194,7 +194,7 @@
             for (int i = 0; i < 2; i++) {
                 crashingSent.incrementAndGet();
                 try (Client client = new Client(site.gateways.get((first + i) % GATEWAYS).port, Site.KEY)) {
-                    Client.Answer answer = send(client, Integer.toHexString(CRASHING_PART) + ":227,", shared);
+                    Client.Answer answer = send(client, Integer.toHexString(CRASHING_PART) + ":227,", shared, limit);
                     if (answer.status() == 200 && answer.complete()) return;
                     if (answer.status() == 503) Thread.sleep((limit - record.millis()) / 3);
                 }
@@ -202,13 +202,14 @@
         });
     }
 
-    private Client.Answer send(Client client, String crashingPart, int shared) {
+    private Client.Answer send(Client client, String crashingPart, int shared, long limitMillis) {
         int number = ids.incrementAndGet();
         String id = "r" + number;
         String parts = Integer.toHexString(0x5000 + shared) + ":341," + crashingPart + Integer.toHexString(0x100000 + number) + ":1232";
         String headers = "X-Buckthornlever-Model: m\r\nX-Buckthornlever-Token-Usage: 1800,30\r\nX-Buckthornlever-Prefix-Hash: " + parts + "\r\n";
         record.add("sends " + id + " " + parts);
-        Client.Answer answer = client.call("POST", "/tag/x", id, ("tag " + id).getBytes(), TIME_LIMIT_MILLIS, headers);
+        long left = Math.max(100, limitMillis - record.millis());
+        Client.Answer answer = client.call("POST", "/tag/x", id, ("tag " + id).getBytes(), left, headers);
         record.add("answer " + id + ": " + answer.status() + ", complete " + answer.complete());
         return answer;
     }
