Keep only the last change of each object for followers

Cause: RelayLog kept the last 1,024 changes with their whole objects, on every instance. A follower needs the last state of an object only, so the history now holds one change an object; changes that no completed reading has confirmed are kept once, too.

RelayLogTest: three of the new tests fail on the code before (HistoryGone for an object that changed 2,000 times; a deletion of an object that exists again is delivered first). The test of the limit changed one object 2,000 times and expected HistoryGone; it now changes 2,000 objects and also counts the changes that are left, since one object no longer fills the history.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayLog.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayLog.kt
@@ -7,15 +7,20 @@
 /**
  * Objects of one kind with their recent changes, as a relay has read them from the shared store, for the instances that follow it.
  * They are available only while the store has confirmed them within [maxAge]. Not thread-safe.
+ *
+ * Of each object only the last change is kept: a follower needs the state after all changes, and a history of whole objects would
+ * grow with the number of changes.
  */
 public class RelayLog(
     private val maxAge: Duration,
 ) {
     private val objects = LinkedHashMap<String, StateObject>()
-    private val pending = ArrayList<StateChange>()
-    private val history = ArrayDeque<Entry>()
+    private val pending = LinkedHashMap<String, StateChange>()
 
-    /** All changes after this revision are in [history]. */
+    /** Last change of each object by name, the oldest first. */
+    private val history = LinkedHashMap<String, Entry>()
+
+    /** The last change of each object that changed after this revision is in [history]. */
     private var historyStart = 0L
     private var isInitialised = false
     private var revision = 0L
@@ -25,13 +30,13 @@
     /** Records a new or changed object. */
     public fun onChanged(item: StateObject) {
         objects[item.name] = item
-        pending.add(StateChange(item, false))
+        pending[item.name] = StateChange(item, false)
     }
 
     /** Records that the object [name] was deleted. */
     public fun onDeleted(name: String) {
         objects.remove(name)
-        pending.add(StateChange(StateObject(name, 0, null), true))
+        pending[name] = StateChange(StateObject(name, 0, null), true)
     }
 
     /** Records that all changes up to [revision] are known as of [asOfNanos]; returns true if there were any since the last call. */
@@ -41,11 +46,12 @@
     ): Boolean {
         if (!isInitialised) historyStart = revision
         isInitialised = true
-        // A deletion gets the revision at which it was seen, so that no older listing restores the object.
-        pending.mapTo(history) { change ->
-            Entry(revision, if (change.deleted) change.copy(changed = change.changed.copy(revision = revision)) else change)
+        for ((name, change) in pending) {
+            history.remove(name)
+            // A deletion gets the revision at which it was seen, so that no older listing restores the object.
+            history[name] = Entry(revision, if (change.deleted) change.copy(changed = change.changed.copy(revision = revision)) else change)
         }
-        while (history.size > MAX_HISTORY) historyStart = history.removeFirst().revision
+        trimHistory()
         val any = pending.isNotEmpty()
         pending.clear()
         this.revision = maxOf(this.revision, revision)
@@ -70,10 +76,18 @@
         if (!isAvailable(nanos)) return RelayReply.Unavailable
         if (since == null) return RelayReply.Changes(objects.values.map { StateChange(it, false) }, revision, confirmedAt)
         if (since < historyStart) return RelayReply.HistoryGone
-        val changes = history.filter { it.revision > since }.map { it.change }
+        val changes = history.values.filter { it.revision > since }.map { it.change }
         return RelayReply.Changes(changes, maxOf(revision, since), confirmedAt)
     }
 
+    private fun trimHistory() {
+        val oldest = history.values.iterator()
+        while (history.size > MAX_HISTORY) {
+            historyStart = maxOf(historyStart, oldest.next().revision)
+            oldest.remove()
+        }
+    }
+
     private class Entry(
         val revision: Long,
         val change: StateChange,
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/RelayLogTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/RelayLogTest.kt
@@ -67,9 +67,42 @@
     fun `changes beyond the limit are dropped from the history`() {
         log.onSynchronised(1, 1)
         repeat(2_000) {
-            log.onChanged(StateObject("a", it + 2L, null))
+            log.onChanged(StateObject("object-$it", it + 2L, null))
             log.onSynchronised(it + 2L, 1)
         }
         assertIs<RelayReply.HistoryGone>(log.reply(1, 1))
+        assertEquals(1_024, assertIs<RelayReply.Changes>(log.reply(977, 1)).changes.size)
+    }
+
+    @Test
+    fun `an object that changes again and again is kept once, however many followers are behind`() {
+        log.onSynchronised(1, 1)
+        repeat(2_000) {
+            log.onChanged(StateObject("a", it + 2L, null))
+            log.onSynchronised(it + 2L, 1)
+        }
+        val reply = assertIs<RelayReply.Changes>(log.reply(1, 1))
+        assertEquals(listOf(2_001L), reply.changes.map { it.changed.revision })
+        assertEquals(2_001, reply.revision)
+    }
+
+    @Test
+    fun `changes that no completed reading has confirmed do not add up`() {
+        log.onSynchronised(1, 1)
+        repeat(2_000) { log.onChanged(StateObject("a", it + 2L, null)) }
+        log.onSynchronised(2_001, 1)
+        assertEquals(1, assertIs<RelayReply.Changes>(log.reply(1, 1)).changes.size)
+    }
+
+    @Test
+    fun `an object that was deleted and created again is not delivered as deleted`() {
+        log.onChanged(StateObject("a", 3, null))
+        log.onSynchronised(5, 10)
+        log.onDeleted("a")
+        log.onSynchronised(7, 20)
+        log.onChanged(StateObject("a", 8, null))
+        log.onSynchronised(9, 30)
+        val reply = assertIs<RelayReply.Changes>(log.reply(5, 30))
+        assertEquals(listOf(8L to false), reply.changes.map { it.changed.revision to it.deleted })
     }
 }
