Continue a feed after any error in one of its steps

Cause: an Error thrown out of the callback of a watch was swallowed by the event loop, and nothing else sends the next watch. Only RuntimeExceptions of the listener were caught. The same holds for an Error while the response of the store or of a relay is decoded: the call then ends without a result, and whoever waits for it waits for good (the feeds, the duty lease, quota ceilings).

Every step of a feed now lists all objects again after a pause if it throws. An object whose application ends with an Error is read again, since memory may have been short for a moment only. Decoding passes whatever it throws on as a failure of the call.

StateFeedTest, with the interface of the listener changed but StateFeed as before: both new tests fail, nothing follows the error.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/CborCodec.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/CborCodec.kt
@@ -34,6 +34,9 @@
         } catch (e: IllegalStateException) {
             // Thrown for items of another type than expected.
             Err(e.message ?: "unexpected CBOR item")
+        } catch (e: Error) {
+            // Whoever decodes a response waits for a result.
+            Err("CBOR not decoded: $e")
         }
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -416,12 +416,17 @@
         override fun onChangeFailed(
             kind: StateKind,
             changed: StateObject,
-            cause: RuntimeException,
+            cause: Throwable,
         ) {
             log.writeFailure(GatewayEvent.INTERNAL_ERROR, cause, "kind" to kind, "name" to changed.name, "revision" to changed.revision)
             onUnreadable(kind, changed)
         }
 
+        override fun onStepFailed(
+            kind: StateKind,
+            cause: Throwable,
+        ): Unit = log.writeFailure(GatewayEvent.INTERNAL_ERROR, cause, "kind" to kind)
+
         override fun onTombstone(
             kind: StateKind,
             name: String,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
@@ -146,12 +146,12 @@
         }
     }
 
+    /** Without a response that can be read, the caller logs a relay failure and falls back to the store. */
     private fun decodeResponse(
         httpResult: HttpCallResponse,
         sent: Long,
     ): RelayResult? {
         if (httpResult.status != OK) return null
-        // Without a response that can be read, the caller logs a relay failure and falls back to the store.
         val response = CborCodec.decode(RelayResponse.serializer(), httpResult.body).getOrElse { return null }
         return RelayResult(response, minOf(sent + response.asOfOffsetNanos, clock.monotonicNanos()))
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.onSuccess
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.serving.StateChange
+import io.buckthornlever.api.serving.StateChanges
 import io.buckthornlever.api.serving.StateFailure
 import io.buckthornlever.api.serving.StateKind
 import io.buckthornlever.api.serving.StateObject
@@ -35,14 +36,17 @@
 
     fun start(): Unit = list(null)
 
-    private fun list(after: String?) {
-        val sent = clock.monotonicNanos()
-        if (after == null) listedNames.clear()
-        store.list(kind, after, false) { result ->
-            result.onSuccess { onPage(it, after, sent) }
-            result.onFailure { retryLater(it) { list(null) } }
+    private fun list(after: String?): Unit =
+        guarded {
+            val sent = clock.monotonicNanos()
+            if (after == null) listedNames.clear()
+            store.list(kind, after, false) { result ->
+                guarded {
+                    result.onSuccess { onPage(it, after, sent) }
+                    result.onFailure { retryLater(it) { list(null) } }
+                }
+            }
         }
-    }
 
     private fun onPage(
         page: StatePage,
@@ -63,24 +67,42 @@
         watch(listRevision)
     }
 
-    private fun watch(since: Long) {
-        val sent = clock.monotonicNanos()
-        store.watch(kind, since, wait) { result ->
-            result.onSuccess { changes ->
-                onAnswered(sent)
-                changes.changes.forEach(::apply)
-                listener.onSynchronised(changes.asOfNanos ?: sent, changes.revision)
-                // Changes often come in bursts; the delay collects them in one response.
-                if (changes.changes.isEmpty()) {
-                    watch(changes.revision)
-                } else {
-                    loop.schedule({ watch(changes.revision) }, BATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+    private fun watch(since: Long): Unit =
+        guarded {
+            val sent = clock.monotonicNanos()
+            store.watch(kind, since, wait) { result ->
+                guarded {
+                    result.onSuccess { onChanges(it, sent) }
+                    result.onFailure { failure ->
+                        if (failure == StateFailure.HistoryGone) listener.onHistoryGone(kind)
+                        retryLater(failure) { if (failure == StateFailure.HistoryGone) list(null) else watch(since) }
+                    }
                 }
             }
-            result.onFailure { failure ->
-                if (failure == StateFailure.HistoryGone) listener.onHistoryGone(kind)
-                retryLater(failure) { if (failure == StateFailure.HistoryGone) list(null) else watch(since) }
-            }
+        }
+
+    private fun onChanges(
+        changes: StateChanges,
+        sent: Long,
+    ) {
+        onAnswered(sent)
+        changes.changes.forEach(::apply)
+        listener.onSynchronised(changes.asOfNanos ?: sent, changes.revision)
+        // Changes often come in bursts; the delay collects them in one response.
+        if (changes.changes.isEmpty()) {
+            watch(changes.revision)
+        } else {
+            loop.schedule({ watch(changes.revision) }, BATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    /** Runs [step], and lists all objects again if it throws anything: nothing else would continue the feed. */
+    private fun guarded(step: () -> Unit) {
+        try {
+            step()
+        } catch (e: Throwable) {
+            scheduleRetry { list(null) }
+            listener.onStepFailed(kind, e)
         }
     }
 
@@ -93,14 +115,32 @@
     private fun apply(item: StateObject) {
         if ((knownRevisions[item.name] ?: Long.MIN_VALUE) >= item.revision) return
         knownRevisions[item.name] = item.revision
-        // Thrown out of a callback, an error would end the feed without a trace.
         try {
             listener.onChanged(kind, item)
         } catch (e: RuntimeException) {
             listener.onChangeFailed(kind, item, e)
+        } catch (e: Error) {
+            // Unlike an exception, it need not recur: memory may have been short for a moment.
+            knownRevisions.remove(item.name)
+            scheduleRead(item.name)
+            listener.onChangeFailed(kind, item, e)
         }
     }
 
+    private fun scheduleRead(name: String) {
+        loop.schedule({ read(name) }, READ_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun read(name: String): Unit =
+        guarded {
+            store.read(kind, name) { result ->
+                guarded {
+                    result.onSuccess(::apply)
+                    result.onFailure { if (it != StateFailure.NotFound) scheduleRead(name) }
+                }
+            }
+        }
+
     private fun remove(name: String) {
         listener.onTombstone(kind, name)
         if (knownRevisions.remove(name) != null) listener.onDeleted(kind, name)
@@ -115,8 +155,12 @@
         failure: StateFailure,
         retry: () -> Unit,
     ) {
-        failures++
         listener.onFailed(kind, failure)
+        scheduleRetry(retry)
+    }
+
+    private fun scheduleRetry(retry: () -> Unit) {
+        failures++
         val maxPause = minOf(INITIAL_BACKOFF_MILLIS shl minOf(failures - 1, MAX_DOUBLINGS), MAX_BACKOFF_MILLIS)
         val pause = maxPause / 2 + ThreadLocalRandom.current().nextLong(maxPause / 2 + 1)
         loop.schedule(retry, pause, TimeUnit.MILLISECONDS)
@@ -130,6 +174,9 @@
         const val BATCH_DELAY_MILLIS = 120L
         const val MAX_DOUBLINGS = 4
 
+        /** Pause before an object that could not be applied is read again. */
+        const val READ_DELAY_MILLIS = 500L
+
         /** Short enough for changes to take effect within their bounds after an outage of the store. */
         const val MAX_BACKOFF_MILLIS = 400L
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeedListener.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeedListener.kt
@@ -16,7 +16,13 @@
     fun onChangeFailed(
         kind: StateKind,
         changed: StateObject,
-        cause: RuntimeException,
+        cause: Throwable,
+    )
+
+    /** A step of the feed failed with [cause], an error of this program; all objects are listed again. */
+    fun onStepFailed(
+        kind: StateKind,
+        cause: Throwable,
     )
 
     /** The object [name] is deleted, whether it was known here or not. */
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
@@ -15,6 +15,7 @@
 import io.buckthornlever.api.version.MoveStatus
 import io.netty.channel.nio.NioEventLoopGroup
 import java.time.Duration
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -22,11 +23,17 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
 
-/** Guards against deletions that do not reach the listener, and against older changes that overwrite newer ones. */
+/** Guards against deletions that do not reach the listener, older changes that overwrite newer ones, and feeds that end unnoticed. */
 class StateFeedTest {
     private val group = NioEventLoopGroup(1)
     private val calls = LinkedBlockingQueue<String>()
 
+    /** Thrown while the object [BROKEN] is applied, one each time. */
+    private val failures = ConcurrentLinkedQueue<Error>()
+
+    /** Thrown when all changes have been delivered, one each time. */
+    private val synchronisationFailures = ConcurrentLinkedQueue<Error>()
+
     @AfterTest
     fun stop() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
@@ -57,6 +64,27 @@
         assertEquals("synchronised 9", next())
     }
 
+    @Test
+    fun `an error while an object is applied does not end the feed and the object is applied later`() {
+        failures.add(OutOfMemoryError("of the test"))
+        follow(StateChange(StateObject(BROKEN, 5, null), false), StateChange(StateObject("b", 6, null), false))
+        assertEquals("synchronised 2", next())
+        assertEquals("failed $BROKEN", next())
+        assertEquals("changed b", next())
+        assertEquals("synchronised 9", next())
+        assertEquals("changed $BROKEN", next())
+    }
+
+    @Test
+    fun `an error after the changes were applied does not end the feed`() {
+        synchronisationFailures.add(StackOverflowError("of the test"))
+        follow(StateChange(StateObject("b", 6, null), false))
+        assertEquals("step failed", next())
+        assertEquals("synchronised 2", next())
+        assertEquals("changed b", next())
+        assertEquals("synchronised 9", next())
+    }
+
     private fun follow(vararg changes: StateChange) {
         val store = SingleWatchStore(changes.toList())
         val loop = group.next()
@@ -72,17 +100,25 @@
             changed: StateObject,
         ) {
             check(changed.name != FAILING)
+            if (changed.name == BROKEN) failures.poll()?.let { throw it }
             calls.add("changed ${changed.name}")
         }
 
         override fun onChangeFailed(
             kind: StateKind,
             changed: StateObject,
-            cause: RuntimeException,
+            cause: Throwable,
         ) {
             calls.add("failed ${changed.name}")
         }
 
+        override fun onStepFailed(
+            kind: StateKind,
+            cause: Throwable,
+        ) {
+            calls.add("step failed")
+        }
+
         override fun onTombstone(
             kind: StateKind,
             name: String,
@@ -106,6 +142,7 @@
             asOfNanos: Long,
             revision: Long,
         ) {
+            synchronisationFailures.poll()?.let { throw it }
             calls.add("synchronised $revision")
         }
 
@@ -117,7 +154,7 @@
         override fun onHistoryGone(kind: StateKind) = Unit
     }
 
-    /** Lists object `a` at revision 2 of the store, and answers one watch. */
+    /** Lists object `a` at revision 2 of the store, answers one watch, and reads any object at revision 5. */
     private class SingleWatchStore(
         private val changes: List<StateChange>,
     ) : StateStore {
@@ -145,7 +182,7 @@
             kind: StateKind,
             name: String,
             done: (Result<StateObject, StateFailure>) -> Unit,
-        ) = Unit
+        ) = done(Ok(StateObject(name, 5, null)))
 
         override fun create(
             kind: StateKind,
@@ -178,5 +215,6 @@
 
     private companion object {
         const val FAILING = "failing"
+        const val BROKEN = "broken"
     }
 }
