Drop idle connections to addresses that are no longer used

Cause: the pool looks at the idle connections of an address only when a request goes there. Up to 16 connections to each upstream that has ever been registered stayed in the map, open or closed, with their decoders. The pool now drops those that are closed or too old every five seconds. The lease holder's set of reported usage windows grew by one entry a window, too, and is now cut with the ledger.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
@@ -22,6 +22,10 @@
     private val connectTimeout: Duration,
 ) {
     private val idle = HashMap<ServerAddress, ArrayDeque<OutboundConnection>>()
+    private var purgedAt = clock.monotonicNanos()
+
+    /** Number of idle connections that the pool holds. */
+    public val idleCount: Int get() = idle.values.sumOf { it.size }
 
     /** Number of connections opened since the start. */
     public var openedCount: Long = 0
@@ -91,12 +95,30 @@
         val idleConnections = idle.getOrPut(connection.remoteAddress) { ArrayDeque() }
         idleConnections.addLast(connection)
         if (idleConnections.size > MAX_IDLE_PER_ADDRESS) idleConnections.removeFirst().close()
+        if (connection.idleSinceNanos - purgedAt >= PURGE_INTERVAL.toNanos()) purge(connection.idleSinceNanos)
+    }
+
+    /** Drops connections that are closed or too old to be reused, also those to addresses that nobody asks for any more. */
+    private fun purge(now: Long) {
+        purgedAt = now
+        for (connections in idle.values) {
+            connections.removeIf { connection ->
+                val isExpired = !connection.isOpen || now - connection.idleSinceNanos > MAX_IDLE_TIME.toNanos()
+                if (isExpired) connection.close()
+                isExpired
+            }
+        }
+        idle.values.removeIf { it.isEmpty() }
     }
 
     private companion object {
         /** Idle connections kept per address; one instance seldom uses more at once. */
         const val MAX_IDLE_PER_ADDRESS = 16
 
+        /** Longer than any connection is reused after. */
+        val MAX_IDLE_TIME: Duration = Duration.ofSeconds(15)
+        val PURGE_INTERVAL: Duration = Duration.ofSeconds(5)
+
         /** Subtracted from a server's keep-alive timeout, which may expire while a request is on its way. */
         val KEEP_ALIVE_MARGIN: Duration = Duration.ofMillis(800)
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
@@ -150,6 +150,7 @@
         if (index == prunedInWindow) return
         prunedInWindow = index
         usageLedger.forgetBefore(index - RETAINED_WINDOWS)
+        reportedWindows.removeIf { it < index - RETAINED_WINDOWS }
     }
 
     private fun reportUsage(wallMillis: Long) {
