Record which prompt parts crash upstreams in the store

Cause: the evidence of PoisonPartTracker was in memory only. An instance that starts alone gets it from the others, but after a kill of all there are no others. Evidence is merged, so it does not matter who writes after whom.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CrashSighting.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/CrashSighting.kt
@@ -1,4 +1,4 @@
-package io.buckthornlever.core.serving
+package io.buckthornlever.api.serving
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -16,7 +16,7 @@
     @SerialName("t") val atMillis: Long,
 ) {
     /** True if both instances saw the same crash; an upstream needs longer to restart than their clocks usually differ. */
-    internal fun isSameCrash(other: CrashSighting): Boolean = upstream == other.upstream && abs(atMillis - other.atMillis) < RESTART_MILLIS
+    public fun isSameCrash(other: CrashSighting): Boolean = upstream == other.upstream && abs(atMillis - other.atMillis) < RESTART_MILLIS
 
     private companion object {
         const val RESTART_MILLIS = 1_500L
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateKind.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateKind.kt
@@ -28,4 +28,7 @@
 
     /** Ceilings of the quota shares of one instance, each written conditionally by its own instance. */
     QUOTA_CEILINGS,
+
+    /** Evidence on prompt parts that crash upstreams, written conditionally by the lease holder. */
+    SUSPECT_PARTS,
 }
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateValue.kt
@@ -62,4 +62,10 @@
     public data class Usage(
         val window: UsageWindow,
     ) : StateValue
+
+    /** Content of [StateKind.SUSPECT_PARTS]: the [evidence] by the id of the prompt part. */
+    @Serializable
+    public data class SuspectParts(
+        val evidence: Map<Long, SuspectEvidence>,
+    ) : StateValue
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SuspectEvidence.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/SuspectEvidence.kt
@@ -1,4 +1,4 @@
-package io.buckthornlever.core.serving
+package io.buckthornlever.api.serving
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PoisonPartTracker.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PoisonPartTracker.kt
@@ -1,6 +1,8 @@
 package io.buckthornlever.core.serving
 
 import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.serving.CrashSighting
+import io.buckthornlever.api.serving.SuspectEvidence
 
 /**
  * Finds prompt parts that crash the upstreams that start to answer on them, from what all instances observe. Not thread-safe.
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SuspectPart.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SuspectPart.kt
@@ -1,5 +1,8 @@
 package io.buckthornlever.core.serving
 
+import io.buckthornlever.api.serving.CrashSighting
+import io.buckthornlever.api.serving.SuspectEvidence
+
 /** A prompt part that may crash upstreams, with the crashes since its last output. */
 internal class SuspectPart {
     private val crashes = ArrayList<CrashSighting>()
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/PoisonPartTrackerTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/PoisonPartTrackerTest.kt
@@ -1,6 +1,8 @@
 package io.buckthornlever.core.serving
 
 import io.buckthornlever.api.connection.UpstreamId
+import io.buckthornlever.api.serving.CrashSighting
+import io.buckthornlever.api.serving.SuspectEvidence
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -102,7 +102,7 @@
             metrics,
             versionOrders,
         )
-    private val admission = RequestAdmission(context, ::areQuotasKnown, ::checkPause)
+    private val admission = RequestAdmission(context, ::isStateRestored, ::checkPause)
     private val callerListener = CallerListener(loop, admission, clock)
     private val probeListener = CallerListener(loop, ProbeService(::isReady, metrics), clock)
     private val ownRecord =
@@ -138,6 +138,7 @@
         )
     private val suspectParts =
         SuspectPartExchange(settings.instance, clock, poisonParts, peers, { dutyRunner.fencing != null }, log)
+    private val suspectPartStore = SuspectPartStore(store, clock, poisonParts, log)
     private val versionOrderRunner =
         VersionOrderRunner(settings.instance, clock, versionOrders, balancer, store, peers, ::heldLease, log)
     private val pauseDetector = PauseDetector(clock.monotonicNanos(), clock.now().toEpochMilli())
@@ -165,6 +166,7 @@
                 releaseWaiting()
             }
             ceilingStore.start { releaseWaiting() }
+            suspectPartStore.start(settings.firstStart, ::releaseWaiting)
             register()
             tick()
             loop.schedule(log::open, LOG_OPEN_DELAY_MILLIS, TimeUnit.MILLISECONDS)
@@ -225,12 +227,13 @@
         loop.schedule({ continueStop() }, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    /** Releases the requests that were parked until the serving table and the quota allocation are known. */
+    /** Releases the requests that were parked until the serving table and the state of earlier processes are known. */
     private fun releaseWaiting() {
-        if (tableCache.table != null && areQuotasKnown()) admission.releaseParked()
+        if (tableCache.table != null && isStateRestored()) admission.releaseParked()
     }
 
-    private fun areQuotasKnown(): Boolean = quotaAllocations.isKnown && ceilingStore.isSettled
+    /** True once what earlier processes have left in the store is known, or the store could not be reached for it. */
+    private fun isStateRestored(): Boolean = quotaAllocations.isKnown && ceilingStore.isSettled && suspectPartStore.isSettled
 
     private fun isReady(): Boolean {
         val ready = stoppingSince == null && tableCache.isReady(clock.monotonicNanos())
@@ -257,6 +260,7 @@
         updateMembers()
         ceilingStore.update()
         suspectParts.tick()
+        suspectPartStore.tick(dutyRunner.fencing != null)
         versionOrderRunner.tick()
         if (stoppingSince == null) dutyRunner.tick(LeaseCandidates.includes(settings.instance, peers.liveNames()))
         val table = tableCache.table
@@ -409,7 +413,7 @@
                 is StateValue.Instance -> peers.addPeer(value.record)
                 is StateValue.Quota -> quotaAllocations.update(changed.revision, value.holdings)
                 is StateValue.Order -> versionOrderRunner.onOrder(value)
-                is StateValue.Lease, is StateValue.Usage, is StateValue.Ceilings -> Unit
+                is StateValue.Lease, is StateValue.Usage, is StateValue.Ceilings, is StateValue.SuspectParts -> Unit
             }
         }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
@@ -1,6 +1,6 @@
 package io.buckthornlever.gateway.process
 
-import io.buckthornlever.core.serving.SuspectEvidence
+import io.buckthornlever.api.serving.SuspectEvidence
 import io.buckthornlever.core.version.EvidenceDelta
 import io.buckthornlever.core.version.VersionStop
 import kotlinx.serialization.SerialName
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ParkedRequests.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ParkedRequests.kt
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Holds the requests that arrive before the first serving table and the first division of quotas. Callers that waited for a
- * restarted instance connect all at once when it starts to listen. The table and the division follow shortly, so asking these
+ * Holds the requests that arrive before the first serving table and the state of earlier processes are known. Callers that waited for a
+ * restarted instance connect all at once when it starts to listen. The table and that state follow shortly, so asking these
  * callers to retry would cost them far more time.
  *
  * @param serve serves a request if there is a serving table by then, and refuses it otherwise
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
@@ -18,12 +18,12 @@
 /**
  * Resolves the route and the client account of each request, and starts or refuses it.
  *
- * @param quotaHoldersKnown returns true once the instances that hold quota shares are known
+ * @param isStateRestored returns true once the state that earlier processes have stored is known, as far as admission relies on it
  * @param checkForPause called before each decision, so that a pause of the instance is noticed before cached state is relied on
  */
 internal class RequestAdmission(
     private val context: ServingContext,
-    private val quotaHoldersKnown: () -> Boolean,
+    private val isStateRestored: () -> Boolean,
     private val checkForPause: () -> Unit,
 ) : CallerService {
     override val limits: CallerLimits get() = context.tableCache.table?.limits ?: CallerLimits()
@@ -46,7 +46,7 @@
         checkForPause()
         val head = context.protocol.decodeRequest(request.head)
         if (refusesNewRequests) return refuse(head, reply, "the process is about to end")
-        if (context.tableCache.table != null && quotaHoldersKnown()) return serve(request, head, reply)
+        if (context.tableCache.table != null && isStateRestored()) return serve(request, head, reply)
         val maxWait = head.timeLeft?.dividedBy(RequestLimits.PARK_TIME_DIVISOR) ?: RequestLimits.MAX_PARK_TIME
         return parked.park(request, reply, minOf(maxWait, RequestLimits.MAX_PARK_TIME))
     }
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/InMemoryStore.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/InMemoryStore.kt
@@ -32,6 +32,12 @@
         name: String,
     ): StateValue? = objects[kind to name]?.value
 
+    /** Revision of the object [name]; 0 if there is none. */
+    fun revisionOf(
+        kind: StateKind,
+        name: String,
+    ): Long = objects[kind to name]?.revision ?: 0
+
     override fun list(
         kind: StateKind,
         after: String?,
