Refuse responses that begin with the rest of another one

Users saw callers that got a success where the upstream had answered with a failure (MIXED), and a request that ran though it had been refused (REFUSED), with upstreams that answer twice, the second time late.

Cause, as far as it is reproduced here: when the second answer is cut inside its head, the bytes wait in the decoder of the kept connection and merge with the head of the next answer. `HTTP/1.1 200 OK, Content-Type: text/pl` and the failure that follows become one success with the id and the seal of the failure; the rest of a refusal with the header of requests that did not run turns a request that runs into one that is refused as not run. Netty takes both for one valid head. The id was checked, but it is the id of the second head.

Bytes that arrive while no request is pending now close the connection before they are decoded, bytes behind the end of a response keep it from being reused, and a head that contains another status line, as the reason or in a header, breaks the attempt. A buffered body that contains a status line and the id of its own request, which is what a cut answer and its repetition look like, breaks it too.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import java.time.Duration
 
 /** Pool of outbound connections, by address. Idle connections are reused while the server keeps them open. */
@@ -81,7 +80,7 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(HttpRequestEncoder(), HttpResponseDecoder(), connection)
+                        channel.pipeline().addLast(HttpRequestEncoder(), connection.decoder, connection)
                     }
                 },
             ).connect(address.host, address.port)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
+import java.net.InetSocketAddress
 import java.time.Duration
 
 /**
@@ -23,6 +24,8 @@
     private val address: ServerAddress,
     private val onIdle: (OutboundConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
+    /** Decoder of the responses, to be added to the pipeline ahead of this handler. */
+    internal val decoder = ResponseDecoder { listener != null }
     private lateinit var channel: Channel
     private var listener: ExchangeListener? = null
     private var isRequestWritten = false
@@ -46,6 +49,9 @@
     /** Address of the server at the other end. */
     public val remoteAddress: ServerAddress get() = address
 
+    /** Local port of the connection; null once it is closed. */
+    public val localPort: Int? get() = (channel.localAddress() as? InetSocketAddress)?.port
+
     /** True while the connection is open. */
     public val isOpen: Boolean get() = channel.isActive
 
@@ -92,6 +98,8 @@
                 context.close()
             } else if (message is HttpObject && message.decoderResult().isFailure) {
                 fail("malformed response: ${message.decoderResult().cause().message}")
+            } else if (message is HttpResponse && ResponseDecoder.isMerged(message)) {
+                fail("malformed response: a status line inside its head")
             } else {
                 if (message is HttpResponse) handleHead(message)
                 if (message is HttpContent) handleContent(message)
@@ -139,10 +147,13 @@
         }
         val completed = listener ?: return
         listener = null
-        if (isRequestWritten && isReusable && channel.isActive) onIdle(this) else channel.close()
+        if (isReusable && hasNothingPending()) onIdle(this) else channel.close()
         completed.onCompleted()
     }
 
+    /** True if the request was written completely and no bytes have arrived behind its response. */
+    private fun hasNothingPending(): Boolean = isRequestWritten && channel.isActive && !decoder.hasUndecodedBytes
+
     private fun fail(
         reason: String,
         isConnectionLost: Boolean = false,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -13,6 +13,7 @@
 import io.buckthornlever.gateway.connection.ExchangeListener
 import io.buckthornlever.gateway.connection.HeadDecision
 import io.buckthornlever.gateway.connection.OutboundConnection
+import io.buckthornlever.gateway.connection.ResponseDecoder
 import io.buckthornlever.gateway.connection.ServerAddress
 import io.buckthornlever.gateway.process.GatewayEvent
 import io.netty.handler.codec.http.FullHttpRequest
@@ -65,6 +66,12 @@
     var hasOutput: Boolean = false
         private set
 
+    /** Status of the upstream's response; null before there is one. */
+    val status: Int? get() = response?.status()?.code()
+
+    /** Local port of the connection that the request was sent on; null before it was sent. */
+    val localPort: Int? get() = connection?.localPort
+
     /** True once the request has been handed to a connection. */
     val wasSent: Boolean get() = connection != null
 
@@ -100,7 +107,10 @@
     override fun onHead(response: HttpResponse): HeadDecision {
         if (isFinished) return HeadDecision.REJECT
         val head = context.protocol.decodeResponse(response)
-        if (head.requestId != null && head.requestId != requestId) return HeadDecision.SKIP
+        if (head.requestId != null && head.requestId != requestId) {
+            logSkipped(response, head)
+            return HeadDecision.SKIP
+        }
         if (head.requestId == null && requestId != null && connection?.isReused == true) {
             // May be a late duplicate of the response to an earlier request, so it proves nothing about this one.
             fail(AttemptEnd.Broken("response without a request id on a reused connection"), true)
@@ -129,6 +139,21 @@
         return HeadDecision.ACCEPT
     }
 
+    private fun logSkipped(
+        response: HttpResponse,
+        head: UpstreamResponseHead,
+    ) {
+        context.log.write(
+            GatewayEvent.RESPONSE_SKIPPED,
+            "request" to requestId,
+            "upstream" to entry.upstream.id,
+            "responseTo" to head.requestId,
+            "status" to response.status().code(),
+            "connection" to connection?.localPort,
+            "reused" to connection?.isReused,
+        )
+    }
+
     private fun recordStatements(head: UpstreamResponseHead) {
         recordLimit(head.limit)
         if (head.leaving && context.balancer.onLeavingStated(entry, progressNanos)) {
@@ -200,6 +225,7 @@
         val response = response ?: return
         val status = response.status().code()
         val buffered = BufferedResponse(response.status(), context.protocol.callerHeaders(response), body.toByteArray())
+        if (containsOwnHead(buffered.body)) return fail(AttemptEnd.Broken("the response starts again inside its body"), true)
         when {
             head?.notRun == true -> fail(AttemptEnd.NotRun("upstream refused with status $status"), null)
             isRelayingStream -> {
@@ -225,6 +251,13 @@
         if (!isFinished) fail(AttemptEnd.Broken(reason, isConnectionLost), true)
     }
 
+    /** True if [bytes] contain the head of a response to this request, as a body does that was cut and followed by a second response. */
+    private fun containsOwnHead(bytes: ByteArray): Boolean {
+        val id = requestId ?: return false
+        val text = bytes.toString(Charsets.ISO_8859_1)
+        return id in text && ResponseDecoder.containsStatusLine(text)
+    }
+
     private fun hasProofOfOrigin(
         head: UpstreamResponseHead,
         response: HttpResponse,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -463,6 +463,8 @@
             "units" to account?.let { quotaCostOf(it, head).toLong() },
             "quota" to account?.let { context.quotas.limitOf(it).toLong() },
             "upstream" to attempt?.entry?.upstream?.id,
+            "status" to attempt?.status,
+            "connection" to attempt?.localPort,
             "sends" to sends,
             "proof" to proof,
             "millis" to millis,
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/OutboundConnectionTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/OutboundConnectionTest.kt
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpVersion
 import java.io.IOException
 import kotlin.test.Test
@@ -18,7 +17,7 @@
 class OutboundConnectionTest {
     private val idle = ArrayList<OutboundConnection>()
     private val connection = OutboundConnection(ServerAddress("127.0.0.1", 1), idle::add)
-    private val channel = EmbeddedChannel(HttpRequestEncoder(), HttpResponseDecoder(), connection)
+    private val channel = EmbeddedChannel(HttpRequestEncoder(), connection.decoder, connection)
     private val listener = RecordingListener()
 
     @Test
@@ -72,6 +71,30 @@
         assertEquals("head 200, ok, ended", listener.text())
     }
 
+    @Test
+    fun `bytes in the same read as the end of an answer close the connection`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 ")
+        assertFalse(channel.isOpen)
+        assertEquals("head 200, ok, ended", listener.text())
+        assertTrue(idle.isEmpty())
+    }
+
+    @Test
+    fun `an incomplete head on an idle connection closes it`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        receive("HTTP/1.1 200 ")
+        assertFalse(channel.isOpen)
+    }
+
+    @Test
+    fun `a head with a second status line inside breaks the exchange`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\nContent-Type: text/plHTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nok")
+        assertEquals("broken", listener.text())
+    }
+
     @Test
     fun `bytes that are no answer break the exchange`() {
         send()
