Bound what calls to the store and to relays read

Operators of similar systems saw a server that sent bytes without end until the machine that had called it ran out of memory.

Cause: HttpCallClient collected the body of a response until its time was over. A store, a relay or the cloud API that sends without end fills the heap within the second or so that a call may take. A body is now given up beyond 8 MiB and the connection closed.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
@@ -16,11 +16,15 @@
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
-/** Makes calls with small bodies to one server, each with a timeout. A connection whose response is overdue is closed. */
+/**
+ * Makes calls to one server, each with a timeout. A connection whose response is overdue, or whose body is larger than
+ * [maxResponseBytes], is closed.
+ */
 public class HttpCallClient(
     private val loop: EventLoop,
     private val pool: ConnectionPool,
     private val address: ServerAddress,
+    private val maxResponseBytes: Int = DEFAULT_MAX_RESPONSE_BYTES,
 ) {
     /** Number of calls made since the start. */
     public var callCount: Long = 0
@@ -36,7 +40,7 @@
         done: (Result<HttpCallResponse, HttpCallFailure>) -> Unit,
     ) {
         callCount++
-        val call = Call(done)
+        val call = Call(maxResponseBytes, done)
         val timer = loop.schedule({ call.onTimeout() }, timeout.toMillis(), TimeUnit.MILLISECONDS)
         call.onDone = { timer.cancel(false) }
         pool.acquire(address, MAX_IDLE) { result ->
@@ -60,6 +64,7 @@
     }
 
     private class Call(
+        private val maxResponseBytes: Int,
         private val done: (Result<HttpCallResponse, HttpCallFailure>) -> Unit,
     ) : ExchangeListener {
         private var connection: OutboundConnection? = null
@@ -90,7 +95,11 @@
             return HeadDecision.ACCEPT
         }
 
-        override fun onData(bytes: ByteArray) = body.write(bytes)
+        override fun onData(bytes: ByteArray) {
+            if (body.size() + bytes.size <= maxResponseBytes) return body.write(bytes)
+            connection?.close()
+            finish(Err(HttpCallFailure("response exceeds $maxResponseBytes bytes", true, isTooLarge = true)))
+        }
 
         override fun onCompleted() = finish(Ok(HttpCallResponse(status, body.toByteArray())))
 
@@ -108,6 +117,9 @@
     }
 
     private companion object {
+        /** Several times the largest object of the store, since a watch delivers several versions of one after an interruption. */
+        const val DEFAULT_MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024
+
         /** Connections that were idle for longer may have been dropped unnoticed. */
         val MAX_IDLE: Duration = Duration.ofSeconds(3)
     }
