Bound what the daemon, its clients and the operator tool read

Bodies are now read up to a bound and then given up, lines of token streams up to 1 MiB. Heads are bounded by OkHttp. The load tool of the bench module still reads what its daemon sends without a bound.

--- a/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/connection/OperatorClient.kt
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/connection/OperatorClient.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.cli.process.CommandFailure
 import io.buckthornlever.cli.process.ExitCode
+import io.buckthornlever.http.connection.boundedString
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
@@ -33,7 +34,7 @@
     private fun send(builder: Request.Builder): Response =
         try {
             client.newCall(builder.header("Authorization", "Bearer $token").build()).execute().use {
-                Response(it.code, it.header("ETag"), it.body.string())
+                Response(it.code, it.header("ETag"), it.body.boundedString(MAX_RESPONSE_BYTES))
             }
         } catch (e: IOException) {
             throw CommandFailure(ExitCode.FAILED, "cannot reach $baseUrl: ${e.message}")
@@ -54,5 +55,8 @@
 
     private companion object {
         val CALL_TIMEOUT: Duration = Duration.ofSeconds(10)
+
+        /** Several times the state dump of a large site. */
+        const val MAX_RESPONSE_BYTES = 64L * 1_024 * 1_024
     }
 }
--- a/buckthornlever-cli/src/test/kotlin/io/buckthornlever/cli/process/OperatorClientTest.kt
+++ b/buckthornlever-cli/src/test/kotlin/io/buckthornlever/cli/process/OperatorClientTest.kt
@@ -15,6 +15,7 @@
 import io.buckthornlever.core.process.TableCodec
 import io.buckthornlever.daemon.process.Daemon
 import io.buckthornlever.daemon.process.Settings
+import io.buckthornlever.standin.process.EndlessServer
 import io.buckthornlever.standin.process.InstanceListStandIn
 import io.buckthornlever.standin.process.ObjectStoreStandIn
 import org.junit.jupiter.api.AfterAll
@@ -23,6 +24,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
+import kotlin.test.assertTrue
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class OperatorClientTest {
@@ -42,6 +44,16 @@
         Files.walk(directory).sorted(Comparator.reverseOrder()).forEach(Files::delete)
     }
 
+    @Test
+    fun `a daemon that sends a head or a body without end is given up`() {
+        for (server in listOf(EndlessServer.inHead(), EndlessServer.inBody())) {
+            server.use {
+                assertFailsWith<CommandFailure> { OperatorClient(server.url, "secret").get("/admin/status") }
+                assertTrue(server.sentBytes < MAX_SENT_BYTES, "${server.sentBytes} bytes were sent")
+            }
+        }
+    }
+
     @Test
     fun `a change is in effect once the waiter returns`() {
         val response = client.post("/admin/domains/zone-a/take-out").bodyOrFail()
@@ -81,4 +93,9 @@
             while (!started.isReady()) Thread.onSpinWait()
         }
     }
+
+    private companion object {
+        /** The largest response that the client reads, and the buffers of two sockets on loopback. */
+        const val MAX_SENT_BYTES = 96L * 1_024 * 1_024
+    }
 }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
@@ -156,8 +156,9 @@
                 UpstreamError.Malformed("response to another request")
             } else {
                 try {
-                    val bytes = response.body.readAllBytes()
-                    return Ok(BufferedResponse(response.status, response.headers.filter { it.name.lowercase() !in NOT_RETURNED }, bytes))
+                    val bytes = response.body.readNBytes(MAX_BODY_BYTES + 1)
+                    if (bytes.size <= MAX_BODY_BYTES) return Ok(BufferedResponse(response.status, returnedHeaders(response), bytes))
+                    UpstreamError.Malformed("response body exceeds $MAX_BODY_BYTES bytes")
                 } catch (e: SocketTimeoutException) {
                     UpstreamError.Silent(Duration.ofMillis(request.progressTimeoutMillis))
                 } catch (e: IOException) {
@@ -168,6 +169,9 @@
         return Err(error)
     }
 
+    private fun returnedHeaders(response: UpstreamResponse): List<Header> =
+        response.headers.filter { it.name.lowercase() !in NOT_RETURNED }
+
     private fun executed(mayHaveRun: Boolean): ExecutionStatus = if (mayHaveRun) ExecutionStatus.UNKNOWN else ExecutionStatus.NOT_RUN
 
     private fun noUpstream(mayHaveRun: Boolean): RequestError =
@@ -181,6 +185,8 @@
     )
 
     private companion object {
+        /** Bodies are buffered until they are complete. */
+        const val MAX_BODY_BYTES = 16 * 1_024 * 1_024
         val NOT_RETURNED = setOf("connection", "content-length", "date", "keep-alive", "server", "transfer-encoding", "x-request-id")
     }
 }
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/StreamRunner.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/StreamRunner.kt
@@ -20,7 +20,6 @@
 import io.buckthornlever.core.request.StreamState
 import io.buckthornlever.daemon.process.LogEvent
 import io.buckthornlever.gateway.process.EventLog
-import java.io.BufferedReader
 import java.io.IOException
 import java.net.SocketTimeoutException
 import java.time.Duration
@@ -135,14 +134,14 @@
             attempts.recordFailure(target, UpstreamError.Refused(response.status, null))
             return handle(StreamEvent.Broken(attempt))
         }
-        val error = readChunks(response.body.bufferedReader(), attempt) ?: return
+        val error = readChunks(BoundedLines(response.body, MAX_LINE_BYTES), attempt) ?: return
         attempts.recordFailure(target, error)
         onFailure(error, attempt, target)
     }
 
     /** Reads chunks until the attempt ends; returns why the connection ended, or null when the state machine ended the attempt. */
     private fun readChunks(
-        lines: BufferedReader,
+        lines: BoundedLines,
         attempt: RequestId,
     ): UpstreamError? {
         while (outcome == null && nextOpen == null) {
@@ -152,7 +151,7 @@
             }
             val line =
                 try {
-                    lines.readLine()
+                    lines.next()
                 } catch (e: SocketTimeoutException) {
                     return UpstreamError.Silent(Duration.ofMillis(call.route.progressTimeoutMillis))
                 } catch (e: IOException) {
@@ -245,6 +244,9 @@
         const val DONE = "[DONE]"
         const val HANDED_OVER = "handed-over"
         const val BYTES_PER_TOKEN = 4
+
+        /** Lines of token streams have some hundred bytes. */
+        const val MAX_LINE_BYTES = 1_024 * 1_024
         val REFUSALS = setOf(429, 503)
         val CALLER_ERRORS = 400..499
     }
--- a/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/process/DaemonHarness.kt
+++ b/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/process/DaemonHarness.kt
@@ -32,9 +32,16 @@
 import java.security.MessageDigest
 import java.util.HexFormat
 
-/** One daemon with model engines, two plain services, an instance list and an object store. */
+/**
+ * One daemon with model engines, two plain services, an instance list and an object store.
+ *
+ * @param engineUrl if given, the only engine that the daemon knows
+ * @param serviceUrl if given, the only plain service that the daemon knows
+ */
 internal class DaemonHarness(
     engineCount: Int = 2,
+    private val engineUrl: String? = null,
+    private val serviceUrl: String? = null,
 ) : AutoCloseable {
     private val directory = Files.createTempDirectory("daemon-test")
     val store = ObjectStoreStandIn().start()
@@ -120,20 +127,22 @@
         PoolTable(
             pools =
                 listOf(
-                    Pool(MODELS, ServiceKind.MODEL, engines.mapIndexed { index, engine -> upstream("engine-$index", engine.url, index) }),
+                    Pool(MODELS, ServiceKind.MODEL, upstreams("engine", engineUrl, engines.map { it.url })),
                     Pool(
                         SERVICES,
                         ServiceKind.PLAIN,
-                        services.mapIndexed {
-                            index,
-                            service,
-                            ->
-                            upstream("service-$index", service.url, index)
-                        },
+                        upstreams("service", serviceUrl, services.map { it.url }),
                     ),
                 ),
         )
 
+    /** Upstreams at [urls], or a single one at [onlyUrl] if it is given. */
+    private fun upstreams(
+        prefix: String,
+        onlyUrl: String?,
+        urls: List<String>,
+    ): List<UpstreamSpec> = (onlyUrl?.let(::listOf) ?: urls).mapIndexed { index, url -> upstream("$prefix-$index", url, index) }
+
     private fun upstream(
         id: String,
         url: String,
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpEngineControl.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpEngineControl.kt
@@ -50,7 +50,7 @@
         upstream: UpstreamSpec,
         request: RequestId,
     ): Result<KvHandle, UpstreamError> =
-        post(upstream, "/v1/kv/export", requestBody(request)) { JSON.decodeFromString(KvHandle.serializer(), it.body.string()) }
+        post(upstream, "/v1/kv/export", requestBody(request)) { JSON.decodeFromString(KvHandle.serializer(), it.body.boundedString()) }
 
     override fun importKv(
         upstream: UpstreamSpec,
@@ -62,7 +62,7 @@
         since: Long,
     ): Result<List<CacheEvent>, UpstreamError> =
         call(Request.Builder().url("${upstream.url}/v1/cache-events?since=$since").build()) {
-            JSON.decodeFromString(WireEvents.serializer(), it.body.string())
+            JSON.decodeFromString(WireEvents.serializer(), it.body.boundedString())
         }.map { response -> response.events.map { CacheEvent(it.sequence, it.kind, it.blocks) } }
 
     private fun requestBody(request: RequestId): String = JSON.encodeToString(WireRequest.serializer(), WireRequest(request.value))
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
@@ -67,7 +67,7 @@
         return try {
             loadClient.newCall(request).execute().use { response ->
                 if (!response.isSuccessful) return Err(UpstreamError.Refused(response.code, null))
-                Ok(JSON.decodeFromString(LoadReport.serializer(), response.body.string()))
+                Ok(JSON.decodeFromString(LoadReport.serializer(), response.body.boundedString()))
             }
         } catch (e: IOException) {
             Err(UpstreamError.Broken(describe(e)))
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpCloudApi.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpCloudApi.kt
@@ -11,6 +11,7 @@
 import io.buckthornlever.api.process.CloudPrice
 import io.buckthornlever.api.process.CloudStartRequest
 import io.buckthornlever.api.process.PlatformError
+import io.buckthornlever.http.connection.boundedString
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -27,7 +28,7 @@
     override fun start(request: CloudStartRequest): Result<CloudInstance, PlatformError> {
         val body = http.jsonBody(CloudStartRequest.serializer(), request)
         return http.call(Request.Builder().url(baseUrl + INSTANCES).post(body).build()) {
-            PlatformHttpClient.JSON.decodeFromString(CloudInstance.serializer(), it.body.string())
+            PlatformHttpClient.JSON.decodeFromString(CloudInstance.serializer(), it.body.boundedString())
         }
     }
 
@@ -52,7 +53,7 @@
         url: String,
         serializer: KSerializer<T>,
     ): Result<T, PlatformError> = http.call(Request.Builder().url(url).build()) {
-        PlatformHttpClient.JSON.decodeFromString(serializer, it.body.string())
+        PlatformHttpClient.JSON.decodeFromString(serializer, it.body.boundedString())
     }
 
     @Serializable
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpInstanceList.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpInstanceList.kt
@@ -8,6 +8,7 @@
 import io.buckthornlever.api.process.InstanceList
 import io.buckthornlever.api.process.PlatformError
 import io.buckthornlever.api.process.PlatformInstance
+import io.buckthornlever.http.connection.boundedString
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -28,7 +29,7 @@
                 when {
                     response.code == 429 -> Err(PlatformError.RateLimited(Duration.ofSeconds(1)))
                     !response.isSuccessful -> Err(PlatformError.Unavailable("status ${response.code}"))
-                    else -> Ok(JSON.decodeFromString(WireList.serializer(), response.body.string()).instances.map(::toInstance))
+                    else -> Ok(JSON.decodeFromString(WireList.serializer(), response.body.boundedString()).instances.map(::toInstance))
                 }
             }
         } catch (e: IOException) {
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpObjectStore.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpObjectStore.kt
@@ -11,6 +11,7 @@
 import io.buckthornlever.api.process.StoreError
 import io.buckthornlever.api.process.StoredObject
 import io.buckthornlever.http.connection.SendTracker
+import io.buckthornlever.http.connection.boundedString
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -44,7 +45,7 @@
 
     override fun get(key: ObjectKey): Result<StoredObject, StoreError> =
         call(client, objectRequest(key).get(), isWrite = false) { response ->
-            StoredObject(key, versionOf(response), response.body.string())
+            StoredObject(key, versionOf(response), response.body.boundedString())
         }
 
     override fun create(
@@ -93,7 +94,7 @@
         url: HttpUrl,
     ): Result<ObjectListing, StoreError> =
         call(httpClient, Request.Builder().url(url), isWrite = false) { response ->
-            JSON.decodeFromString(WireListing.serializer(), response.body.string())
+            JSON.decodeFromString(WireListing.serializer(), response.body.boundedString())
         }.map { wire ->
             ObjectListing(
                 ObjectVersion(wire.revision),
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpWeightStore.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpWeightStore.kt
@@ -4,6 +4,7 @@
 import io.buckthornlever.api.process.PlatformError
 import io.buckthornlever.api.process.WeightStore
 import io.buckthornlever.api.version.VersionLabel
+import io.buckthornlever.http.connection.boundedBytes
 import okhttp3.HttpUrl.Companion.toHttpUrl
 import okhttp3.Request
 import java.time.Duration
@@ -20,11 +21,13 @@
         version: VersionLabel,
     ): Result<ByteArray, PlatformError> {
         val url = "$baseUrl/v1/weights".toHttpUrl().newBuilder().addPathSegment(model).addPathSegment(version.value).build()
-        return http.call(Request.Builder().url(url).build()) { it.body.bytes() }
+        return http.call(Request.Builder().url(url).build()) { it.body.boundedBytes(MAX_WEIGHT_BYTES) }
     }
 
     private companion object {
         /** Long, because weights are large and the store limits the number of calls, not bytes. */
         val CALL_TIMEOUT: Duration = Duration.ofMinutes(5)
+
+        const val MAX_WEIGHT_BYTES = 256L * 1_024 * 1_024
     }
 }
