Refuse connections to a closed instance and close its sockets after their users

Cause: PeerSockets.close returned before the selector had dropped the channel of the port, which listens until then; a connection made in that time is accepted by the system and reset. The UDP socket was closed while its coroutines still used it on other threads, which the review traced to aborts in the native heap. close now waits for the coroutines, closes the sockets and waits for the selector.

PeerSocketsTest with 50 instances that are closed in turn fails on the code before, passes now.

--- a/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerSockets.kt
+++ b/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerSockets.kt
@@ -24,11 +24,13 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.isActive
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.sync.Semaphore
@@ -60,7 +62,8 @@
     )
 
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selectorJob = SupervisorJob()
+    private val selector = SelectorManager(Dispatchers.IO + selectorJob)
     private val connectionPermits = Semaphore(MAX_CONNECTIONS)
     private val outgoing = Channel<OutgoingDatagram>(SEND_QUEUE_CAPACITY, BufferOverflow.DROP_OLDEST) {
         counters.sendQueueDrops.increment()
@@ -137,13 +140,20 @@
             },
         )
 
+    /** Closes both sockets; once it has returned, connections to the port are refused. */
     override fun close() {
+        // The JDK must not close a datagram channel that other threads still use.
         scope.cancel()
+        awaitEnd(scope.coroutineContext.job)
         udp?.close()
         tcp?.close()
+        // The port listens until the selector has dropped the channel.
         selector.close()
+        selectorJob.children.forEach(::awaitEnd)
     }
 
+    private fun awaitEnd(job: Job): Unit = runBlocking { withTimeoutOrNull(CLOSE_TIMEOUT_MILLIS) { job.join() } ?: Unit }
+
     private suspend fun exchangeFrames(socket: Socket, to: MemberAddress, frame: ByteArray): Result<BulkMessage, PeerError> {
         val output = socket.openWriteChannel()
         FrameStream.write(output, frame)
@@ -241,6 +251,9 @@
         const val MAX_BIND_ATTEMPTS = 16
         const val SERVE_TIMEOUT_MILLIS = 5_000L
 
+        /** Limits the wait for a handler that is still at work when the sockets close. */
+        const val CLOSE_TIMEOUT_MILLIS = 1_000L
+
         /** Limits the memory for received frames of up to 1 MB each. */
         const val MAX_CONNECTIONS = 32
     }
--- a/buckthornlever-peer/src/test/kotlin/io/buckthornlever/peer/process/PeerSocketsTest.kt
+++ b/buckthornlever-peer/src/test/kotlin/io/buckthornlever/peer/process/PeerSocketsTest.kt
@@ -88,6 +88,16 @@
         )
     }
 
+    @Test
+    fun `connections to a closed instance are refused at once`() {
+        val a = node("a")
+        repeat(CLOSED_INSTANCES) {
+            val b = node("b$it")
+            b.sockets.close()
+            assertEquals(ConnectionEvidence.REFUSED, a.sockets.testConnection(b.address, timeout))
+        }
+    }
+
     @Test
     fun `a client with an oversized frame or without the key gets no response and does not affect other peers`() {
         val a = node("a")
@@ -104,4 +114,8 @@
         assertEquals(1, b.counters.rejections(PeerRejection.UNAUTHENTICATED))
         assertNotNull(a.sockets.request(b.address, BulkMessage.Check, timeout).get())
     }
+
+    private companion object {
+        const val CLOSED_INSTANCES = 50
+    }
 }
