Log and count why no upstream could take a request

A refusal with 'no upstream is free' did not say whether the upstreams counted as full, unreachable, paused or cold, nor how old the load figures were that it relied on, so the hypotheses of docs/incidents/stale-load.md could not be told apart.

Which upstream is chosen does not change.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -144,7 +144,7 @@
         val median = medianFailureRate(query.service)
         for (entry in entries.values) {
             if (!isEligible(entry, query) || entry.upstream.id in query.tried) continue
-            if (!hasCapacity(entry, nanos)) {
+            if (obstacle(entry, nanos) != null) {
                 busy = busy || !entry.statements.isPaused(nanos)
                 continue
             }
@@ -163,6 +163,22 @@
         }
     }
 
+    /** Explains why no upstream can take the request of [query]. */
+    public fun shortage(
+        query: PlacementQuery,
+        nanos: Long,
+    ): PlacementShortage {
+        val (tried, untried) = entries.values.filter { isEligible(it, query) }.partition { it.upstream.id in query.tried }
+        val obstructed = untried.mapNotNull { entry -> obstacle(entry, nanos)?.let { entry to it } }
+        val reports = obstructed.mapNotNull { (entry, obstacle) -> entry.loadReportedNanos.takeIf { obstacle == PlacementObstacle.FULL } }
+        return PlacementShortage(
+            tried.size,
+            obstructed.groupingBy { (_, obstacle) -> obstacle }.eachCount(),
+            (tried + untried).sumOf { it.inFlight },
+            reports.minOrNull()?.let { Duration.ofNanos(nanos - it) },
+        )
+    }
+
     private fun pausedOrNone(
         query: PlacementQuery,
         nanos: Long,
@@ -220,7 +236,9 @@
         entry: UpstreamEntry,
         running: Int,
         waiting: Int,
+        nanos: Long,
     ) {
+        entry.loadReportedNanos = nanos
         entry.loadOfOtherInstances = maxOf(0, running + waiting - entry.inFlight)
     }
 
@@ -256,16 +274,27 @@
             entry.upstream.domain !in evacuated &&
             query.allows(entry.upstream.version)
 
-    private fun hasCapacity(
+    private fun obstacle(
         entry: UpstreamEntry,
         nanos: Long,
-    ): Boolean =
-        nanos >= entry.ejectedUntil &&
-            !entry.statements.isPaused(nanos) &&
-            entry.load < entry.upstream.slots &&
-            (!entry.isCold(nanos) || coldRate(entry) <= 0 || coldLimiter.permits(entry.upstream.id, coldRate(entry), nanos)) &&
-            permitsStatedRate(entry, nanos) &&
-            entry.statements.permitsAfterPause(entry.lastSentNanos, nanos)
+    ): PlacementObstacle? =
+        when {
+            nanos < entry.ejectedUntil -> PlacementObstacle.UNREACHABLE
+            entry.statements.isPaused(nanos) -> PlacementObstacle.PAUSED
+            entry.load >= entry.upstream.slots -> PlacementObstacle.FULL
+            !permitsWhileCold(entry, nanos) -> PlacementObstacle.COLD
+            !permitsStatedRate(entry, nanos) -> PlacementObstacle.STATED_RATE
+            !entry.statements.permitsAfterPause(entry.lastSentNanos, nanos) -> PlacementObstacle.RETURNING
+            else -> null
+        }
+
+    private fun permitsWhileCold(
+        entry: UpstreamEntry,
+        nanos: Long,
+    ): Boolean {
+        val rate = coldRate(entry)
+        return !entry.isCold(nanos) || rate <= 0 || coldLimiter.permits(entry.upstream.id, rate, nanos)
+    }
 
     private fun permitsStatedRate(
         entry: UpstreamEntry,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
@@ -8,6 +8,7 @@
     internal val firstSeenNanos: Long,
 ) {
     internal var loadOfOtherInstances = 0
+    internal var loadReportedNanos: Long? = null
     internal var pendingTokens = 0L
     internal var failureRate = 0.0
     internal var ejectedUntil = Long.MIN_VALUE
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
@@ -112,6 +112,17 @@
         assertEquals("u2", chosen(query).upstream.id.value)
     }
 
+    @Test
+    fun `a shortage tells full upstreams and the age of their figures from those that cannot be reached`() {
+        listOf("u1", "u2", "u3").forEach { register(it) }
+        val (full, unreachable, tried) = balancer.upstreams.toList()
+        balancer.onLoadReported(full, 4, 2, millis(10))
+        balancer.onUnreachable(unreachable, millis(20))
+        val shortage = balancer.shortage(query.copy(tried = setOf(tried.upstream.id)), millis(30))
+        val obstacles = mapOf(PlacementObstacle.FULL to 1, PlacementObstacle.UNREACHABLE to 1)
+        assertEquals(PlacementShortage(1, obstacles, 0, Duration.ofMillis(20)), shortage)
+    }
+
     private fun register(
         id: String,
         domain: String = "a",
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -40,6 +40,7 @@
     CALLER_LEFT("BL-2304", Level.INFO, "caller closed its connection"),
     READINESS_CHANGED("BL-2305", Level.INFO, "readiness changed"),
     RESPONSE_SKIPPED("BL-2306", Level.WARN, "response to another request skipped"),
+    PLACEMENT_FAILED("BL-2307", Level.INFO, "no upstream could take a request in time"),
     PEERS_CHANGED("BL-2401", Level.INFO, "live instances changed"),
     PAUSE_DETECTED("BL-2402", Level.WARN, "time of day jumped; beliefs count as unconfirmed"),
     LEASE_GAINED("BL-2403", Level.INFO, "duty lease gained"),
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayMetrics.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayMetrics.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.gateway.process
 
+import io.buckthornlever.core.serving.PlacementObstacle
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
@@ -24,6 +25,13 @@
             .help("Requests refused before they were placed, by reason")
             .labelNames("reason")
             .register(registry)
+    private val obstructedCounter =
+        Counter
+            .builder()
+            .name("buckthornlever_upstreams_obstructed")
+            .help("Upstreams that could not take a request for which no upstream was found in time, by service and reason")
+            .labelNames("service", "obstacle")
+            .register(registry)
     private val latencyHistogram =
         Histogram
             .builder()
@@ -45,6 +53,13 @@
     /** Counts a request that was refused before it was placed. */
     fun recordRefused(reason: String): Unit = refusedCounter.labelValues(reason).inc()
 
+    /** Counts [count] upstreams of [service] that [obstacle] kept from taking a request which then had to be given up. */
+    fun recordObstructed(
+        service: String,
+        obstacle: PlacementObstacle,
+        count: Int,
+    ): Unit = obstructedCounter.labelValues(service, obstacle.name.lowercase()).inc(count.toLong())
+
     /** Registers a gauge whose value is computed on each scrape. */
     fun registerGauge(
         name: String,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -119,7 +119,7 @@
         progressNanos = context.clock.monotonicNanos()
         this.response = response
         this.head = head
-        head.running?.let { context.balancer.onLoadReported(entry, it, head.waiting) }
+        head.running?.let { context.balancer.onLoadReported(entry, it, head.waiting, progressNanos) }
         head.coldFor?.let { context.balancer.onColdReported(entry, it, progressNanos) }
         // A misdirected request was answered by another upstream, at an address that is in use again.
         if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) recordStatements(head)
