Let a stated load keep requests away only until a slot can be free

Cause: an instance learns the load of an upstream from the responses to its own requests, and kept the last figure until the next one. Once every upstream of a service had stated full slots, it sent nothing, so it heard nothing and refused for good. Many instances before few upstreams with few slots are hit first.

The requests that a report counts leave the slots in turn, so a report of full slots holds for as long as the excess takes to end, at the mean time of the service's requests, and for a second at most. After that one request finds out at each such interval. The wait estimate counts a figure less with its age, up to 5 s.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -24,6 +24,7 @@
     private val entries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val formerEntries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val coldLimiter = ColdRateLimiter(self, clock.monotonicNanos())
+    private val requestTimes = RequestTimes()
     private val statedRateShares = StatedRateShares(self)
     private var table: ServingTable? = null
 
@@ -210,12 +211,17 @@
         entry.pendingTokens = maxOf(0, entry.pendingTokens - tokens)
     }
 
-    /** Records that a request at [entry] ended; [failed] says whether it counts as a failure, null leaves the failure rate as it is. */
+    /**
+     * Records that a request at [entry] ended; [failed] says whether it counts as a failure, null leaves the failure rate as it is.
+     * [time] is what a request that succeeded took; null if that is not known.
+     */
     public fun onRequestFinished(
         entry: UpstreamEntry,
         failed: Boolean?,
+        time: Duration? = null,
     ) {
         entry.inFlight = maxOf(0, entry.inFlight - 1)
+        if (time != null) requestTimes.onFinished(entry.upstream.service, time)
         if (failed == null) return
         entry.failureRate += FAILURE_WEIGHT * ((if (failed) 1.0 else 0.0) - entry.failureRate)
         if (!failed) entry.consecutiveEjections = 0
@@ -281,7 +287,7 @@
         when {
             nanos < entry.ejectedUntil -> PlacementObstacle.UNREACHABLE
             entry.statements.isPaused(nanos) -> PlacementObstacle.PAUSED
-            entry.load >= entry.upstream.slots -> PlacementObstacle.FULL
+            entry.isFull(requestTimes.of(entry.upstream.service), nanos) -> PlacementObstacle.FULL
             !permitsWhileCold(entry, nanos) -> PlacementObstacle.COLD
             !permitsStatedRate(entry, nanos) -> PlacementObstacle.STATED_RATE
             !entry.statements.permitsAfterPause(entry.lastSentNanos, nanos) -> PlacementObstacle.RETURNING
@@ -329,7 +335,7 @@
     ): Double {
         val tokensToRead = if (hasAffinity) query.promptTokens - query.sharedTokens else query.promptTokens
         val prompt = (tokensToRead + entry.pendingTokens) / PROMPT_TOKENS_PER_MILLI
-        val load = LOAD_MILLIS * entry.load / maxOf(1, entry.upstream.slots)
+        val load = LOAD_MILLIS * entry.expectedLoad(nanos) / maxOf(1, entry.upstream.slots)
         val crossing = if (entry.upstream.domain == domain) 0.0 else CROSS_DOMAIN_MILLIS
         val failures = FAILURE_MILLIS * maxOf(0.0, entry.failureRate - medianFailureRate - FAILURE_TOLERANCE)
         val cold = if (entry.isCold(nanos)) COLD_MILLIS else 0.0
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/PlacementSimulation.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/PlacementSimulation.kt
@@ -84,11 +84,12 @@
         tried: Set<UpstreamId>,
     ) {
         val server = servers.getValue(entry.upstream.id)
+        val sentNanos = clock.nanos
         balancer.onRequestSent(entry, 0, clock.nanos)
         val accepted =
             server.offer {
                 balancer.onLoadReported(entry, server.running, server.waiting, clock.nanos)
-                balancer.onRequestFinished(entry, false)
+                balancer.onRequestFinished(entry, false, Duration.ofNanos(clock.nanos - sentNanos))
                 outcomes.add(PlacementOutcome.SERVED)
             }
         if (accepted) return
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
@@ -123,6 +123,48 @@
         assertEquals(PlacementShortage(1, obstacles, 0, Duration.ofMillis(20)), shortage)
     }
 
+    @Test
+    fun `an upstream that stated full slots gets a request once one of them can be free, and others only at that interval`() {
+        register("u1")
+        val entry = balancer.upstreams.single()
+        repeat(20) {
+            balancer.onRequestSent(entry, 0, 0)
+            balancer.onRequestFinished(entry, false, Duration.ofMillis(200))
+        }
+        balancer.onLoadReported(entry, 4, 1, millis(1_000))
+        // Two of the five requests have to end; with four slots, that takes half the time of a request.
+        assertIs<Placement.Busy>(balancer.choose(query, millis(1_099)))
+        balancer.onRequestSent(assertIs<Placement.Chosen>(balancer.choose(query, millis(1_100))).upstream, 0, millis(1_100))
+        assertIs<Placement.Busy>(balancer.choose(query, millis(1_249)))
+        assertIs<Placement.Chosen>(balancer.choose(query, millis(1_250)))
+    }
+
+    @Test
+    fun `a report of full slots keeps requests away for a second at most`() {
+        register("u1")
+        balancer.onLoadReported(balancer.upstreams.single(), 4, 1_000, 0)
+        assertIs<Placement.Busy>(balancer.choose(query, millis(999)))
+        assertIs<Placement.Chosen>(balancer.choose(query, millis(1_000)))
+    }
+
+    @Test
+    fun `requests in flight of this instance keep others away for as long as they run`() {
+        register("u1")
+        repeat(4) { balancer.onRequestSent(balancer.upstreams.single(), 0, 0) }
+        assertIs<Placement.Busy>(balancer.choose(query, millis(60_000)))
+    }
+
+    @Test
+    fun `a high load is forgotten with time`() {
+        register("u1")
+        register("u2")
+        val (first, second) = balancer.upstreams.toList()
+        balancer.onLoadReported(first, 3, 0, 0)
+        balancer.onLoadReported(second, 1, 0, millis(4_500))
+        assertTrue(first.expectedLoad(0) > second.expectedLoad(millis(4_500)))
+        assertEquals(first, assertIs<Placement.Chosen>(balancer.choose(query, millis(4_500))).upstream)
+    }
+
     private fun register(
         id: String,
         domain: String = "a",
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -46,7 +46,7 @@
 
     /** A successful response is relayed as it arrives. */
     private val relaysStream = route.kind == RequestKind.STREAM
-    private val wasUnderLoad = entry.load * 2 >= entry.upstream.slots
+    private val wasUnderLoad = entry.expectedLoad(context.clock.monotonicNanos()) * 2 >= entry.upstream.slots
     private val wasCold = entry.isCold(context.clock.monotonicNanos())
     private var sentNanos = 0L
     private var outputNanos: Long? = null
@@ -293,7 +293,8 @@
     private fun finish(failed: Boolean?) {
         isFinished = true
         releasePromptTokens()
-        context.balancer.onRequestFinished(entry, failed)
+        val time = if (failed == false) Duration.ofNanos(context.clock.monotonicNanos() - sentNanos) else null
+        context.balancer.onRequestFinished(entry, failed, time)
         if (wasSent && head?.notRun != true) recordOutcome(failed ?: false)
     }
 
