Leave an upstream alone whose address another process has taken

A response of 421 says that the process of the upstream has ended and that another one answers at its address. The upstream stayed eligible until its registration ended, so each placement could fail there again and used up a retry; the load in such a response, which belongs to the other process, counted as the upstream's.

The upstream now gets nothing for 5 s, within which its registration ends; the figures of a misdirected response are ignored.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -237,6 +237,17 @@
         entry.ejectedUntil = nanos + ejection.toNanos()
     }
 
+    /**
+     * Records that another process answered at the address of [entry], whose own has ended. It gets nothing for long enough that its
+     * registration can end.
+     */
+    public fun onReplaced(
+        entry: UpstreamEntry,
+        nanos: Long,
+    ) {
+        entry.ejectedUntil = nanos + REPLACED_EJECTION_TIME.toNanos()
+    }
+
     /** Records how many requests of all instances [entry] reports as [running] and [waiting]. */
     public fun onLoadReported(
         entry: UpstreamEntry,
@@ -376,6 +387,9 @@
         /** Ejection time after the first failure to reach an upstream. */
         val BASE_EJECTION_TIME: Duration = Duration.ofMillis(500)
 
+        /** Ejection time of an upstream at whose address another process answered; registrations end within a few seconds. */
+        val REPLACED_EJECTION_TIME: Duration = Duration.ofSeconds(5)
+
         /** Time for which an upstream counts as cold beyond its announcement, since the announcement takes time to arrive. */
         val COLD_MARGIN: Duration = Duration.ofMillis(300)
     }
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
@@ -112,6 +112,14 @@
         assertEquals("u2", chosen(query).upstream.id.value)
     }
 
+    @Test
+    fun `an upstream whose address another process has taken gets nothing until its registration can have ended`() {
+        register("u1")
+        balancer.onReplaced(balancer.upstreams.single(), 0)
+        assertIs<Placement.Busy>(balancer.choose(query, millis(4_999)))
+        assertIs<Placement.Chosen>(balancer.choose(query, millis(5_000)))
+    }
+
     @Test
     fun `a shortage tells full upstreams and the age of their figures from those that cannot be reached`() {
         listOf("u1", "u2", "u3").forEach { register(it) }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -119,10 +119,12 @@
         progressNanos = context.clock.monotonicNanos()
         this.response = response
         this.head = head
-        head.running?.let { context.balancer.onLoadReported(entry, it, head.waiting, progressNanos) }
-        head.coldFor?.let { context.balancer.onColdReported(entry, it, progressNanos) }
         // A misdirected request was answered by another upstream, at an address that is in use again.
-        if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) recordStatements(head)
+        if (response.status() == HttpResponseStatus.MISDIRECTED_REQUEST) {
+            context.balancer.onReplaced(entry, progressNanos)
+        } else {
+            recordStatements(head)
+        }
         if (head.notRun) return HeadDecision.ACCEPT
         val success = response.status().code() in SUCCESS
         if (success && !hasProofOfOrigin(head, response)) {
@@ -155,6 +157,8 @@
     }
 
     private fun recordStatements(head: UpstreamResponseHead) {
+        head.running?.let { context.balancer.onLoadReported(entry, it, head.waiting, progressNanos) }
+        head.coldFor?.let { context.balancer.onColdReported(entry, it, progressNanos) }
         recordLimit(head.limit)
         if (head.leaving && context.balancer.onLeavingStated(entry, progressNanos)) {
             context.log.write(GatewayEvent.UPSTREAM_LEAVES, "upstream" to entry.upstream.id, "inFlight" to entry.inFlight)
