Forget failures of an upstream that gets no requests

An upstream with a high failure rate costs more than any load, so it gets no requests while others have free slots. The rate changed only with requests, so an instance kept away from an upstream that had recovered until all others were full.

The rate counts less with the time since its last outcome, and not at all after 20 s. On the code before, 'an upstream that failed is used again some time after its last request' failed: none of a hundred requests went there.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -142,7 +142,7 @@
         var bestCost = Double.MAX_VALUE
         var busy = false
         val affinity = affinityUpstream(query)
-        val median = medianFailureRate(query.service)
+        val median = medianFailureRate(query.service, nanos)
         for (entry in entries.values) {
             if (!isEligible(entry, query) || entry.upstream.id in query.tried) continue
             if (obstacle(entry, nanos) != null) {
@@ -218,12 +218,13 @@
     public fun onRequestFinished(
         entry: UpstreamEntry,
         failed: Boolean?,
+        nanos: Long,
         time: Duration? = null,
     ) {
         entry.inFlight = maxOf(0, entry.inFlight - 1)
         if (time != null) requestTimes.onFinished(entry.upstream.service, time)
         if (failed == null) return
-        entry.failureRate += FAILURE_WEIGHT * ((if (failed) 1.0 else 0.0) - entry.failureRate)
+        entry.onOutcome(failed, nanos)
         if (!failed) entry.consecutiveEjections = 0
     }
 
@@ -332,8 +333,11 @@
             .maxByOrNull { StableHash.combine(key, it.hash) }
     }
 
-    private fun medianFailureRate(service: String): Double {
-        val rates = entries.values.filter { it.upstream.service == service }.map { it.failureRate }.sorted()
+    private fun medianFailureRate(
+        service: String,
+        nanos: Long,
+    ): Double {
+        val rates = entries.values.filter { it.upstream.service == service }.map { it.expectedFailureRate(nanos) }.sorted()
         return if (rates.isEmpty()) 0.0 else rates[(rates.size - 1) / 2]
     }
 
@@ -348,7 +352,7 @@
         val prompt = (tokensToRead + entry.pendingTokens) / PROMPT_TOKENS_PER_MILLI
         val load = LOAD_MILLIS * entry.expectedLoad(nanos) / maxOf(1, entry.upstream.slots)
         val crossing = if (entry.upstream.domain == domain) 0.0 else CROSS_DOMAIN_MILLIS
-        val failures = FAILURE_MILLIS * maxOf(0.0, entry.failureRate - medianFailureRate - FAILURE_TOLERANCE)
+        val failures = FAILURE_MILLIS * maxOf(0.0, entry.expectedFailureRate(nanos) - medianFailureRate - FAILURE_TOLERANCE)
         val cold = if (entry.isCold(nanos)) COLD_MILLIS else 0.0
         val tie = if (query.promptTokens > 0) 0.0 else TIE_BREAK_MILLIS * StableHash.unit(StableHash.combine(query.tieBreak, entry.hash))
         return prompt + load + crossing + failures + cold + tie
@@ -373,9 +377,6 @@
         /** Excess of an upstream's failure rate over the median that is ignored. */
         const val FAILURE_TOLERANCE = 0.1
 
-        /** Weight of the newest outcome in an upstream's failure rate, an exponential moving average. */
-        const val FAILURE_WEIGHT = 0.1
-
         /** Wait that is accepted to avoid a cold upstream, in milliseconds. */
         const val COLD_MILLIS = 100.0
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
@@ -11,7 +11,8 @@
     internal var loadOfOtherInstances = 0
     internal var loadReportedNanos: Long? = null
     internal var pendingTokens = 0L
-    internal var failureRate = 0.0
+    private var failureRate = 0.0
+    private var outcomeNanos = 0L
     internal var ejectedUntil = Long.MIN_VALUE
     internal var consecutiveEjections = 0
     internal var coldUntil = Long.MIN_VALUE
@@ -40,6 +41,20 @@
         return inFlight + loadOfOtherInstances * (1.0 - age.toDouble() / MAX_LOAD_AGE_NANOS).coerceIn(0.0, 1.0)
     }
 
+    /** Share of its requests that is expected to fail; what it did counts less the longer it has had no request. */
+    internal fun expectedFailureRate(nanos: Long): Double =
+        failureRate * (1.0 - (nanos - outcomeNanos).toDouble() / MAX_FAILURE_AGE_NANOS).coerceIn(0.0, 1.0)
+
+    /** Records whether a request [failed]. */
+    internal fun onOutcome(
+        failed: Boolean,
+        nanos: Long,
+    ) {
+        val rate = expectedFailureRate(nanos)
+        failureRate = rate + FAILURE_WEIGHT * ((if (failed) 1.0 else 0.0) - rate)
+        outcomeNanos = nanos
+    }
+
     /**
      * True while no slot can be expected to be free. Its requests take [requestTime] each and leave the slots in turn, so a report of full slots
      * holds for the time until one is free. From then on a request may find out, at that interval until there is another report.
@@ -64,6 +79,12 @@
     public fun isCold(nanos: Long): Boolean = nanos < coldUntil
 
     private companion object {
+        /** Weight of the newest outcome in the failure rate, an exponential moving average. */
+        const val FAILURE_WEIGHT = 0.1
+
+        /** Time without an outcome after which the failure rate counts as zero. */
+        const val MAX_FAILURE_AGE_NANOS = 20_000_000_000L
+
         /** Longest time for which a report of full slots keeps requests from an upstream. */
         const val MAX_FULL_NANOS = 1_000_000_000L
 
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/PlacementSimulation.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/PlacementSimulation.kt
@@ -89,12 +89,12 @@
         val accepted =
             server.offer {
                 balancer.onLoadReported(entry, server.running, server.waiting, clock.nanos)
-                balancer.onRequestFinished(entry, false, Duration.ofNanos(clock.nanos - sentNanos))
+                balancer.onRequestFinished(entry, false, clock.nanos, Duration.ofNanos(clock.nanos - sentNanos))
                 outcomes.add(PlacementOutcome.SERVED)
             }
         if (accepted) return
         balancer.onLoadReported(entry, server.running, server.waiting, clock.nanos)
-        balancer.onRequestFinished(entry, null)
+        balancer.onRequestFinished(entry, null, clock.nanos)
         if (tried.isEmpty()) place(balancer, request, giveUpNanos, setOf(entry.upstream.id)) else outcomes.add(PlacementOutcome.REJECTED)
     }
 
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
@@ -58,7 +58,7 @@
             val placement = balancer.choose(query, millis(tick * 100L))
             if (placement is Placement.Chosen) {
                 balancer.onRequestSent(placement.upstream, 0, millis(tick * 100L))
-                balancer.onRequestFinished(placement.upstream, false)
+                balancer.onRequestFinished(placement.upstream, false, millis(tick * 100L))
                 sent++
             }
         }
@@ -106,12 +106,25 @@
         repeat(30) {
             balancer.upstreams.forEach { entry ->
                 balancer.onRequestSent(entry, 0, 0)
-                balancer.onRequestFinished(entry, entry.upstream.id.value == "u1")
+                balancer.onRequestFinished(entry, entry.upstream.id.value == "u1", 0)
             }
         }
         assertEquals("u2", chosen(query).upstream.id.value)
     }
 
+    @Test
+    fun `an upstream that failed is used again some time after its last request`() {
+        register("u1")
+        register("u2")
+        val failing = balancer.upstreams.first()
+        repeat(30) {
+            balancer.onRequestSent(failing, 0, 0)
+            balancer.onRequestFinished(failing, true, 0)
+        }
+        assertEquals(0, sharesOf(failing, millis(1_000)))
+        assertTrue(sharesOf(failing, millis(20_000)) > 0)
+    }
+
     @Test
     fun `an upstream whose address another process has taken gets nothing until its registration can have ended`() {
         register("u1")
@@ -137,7 +150,7 @@
         val entry = balancer.upstreams.single()
         repeat(20) {
             balancer.onRequestSent(entry, 0, 0)
-            balancer.onRequestFinished(entry, false, Duration.ofMillis(200))
+            balancer.onRequestFinished(entry, false, 0, Duration.ofMillis(200))
         }
         balancer.onLoadReported(entry, 4, 1, millis(1_000))
         // Two of the five requests have to end; with four slots, that takes half the time of a request.
@@ -183,5 +196,11 @@
 
     private fun chosen(query: PlacementQuery): UpstreamEntry = assertIs<Placement.Chosen>(balancer.choose(query, 0)).upstream
 
+    /** Number of a hundred different requests that would go to [entry]. */
+    private fun sharesOf(
+        entry: UpstreamEntry,
+        nanos: Long,
+    ): Int = (1L..100L).count { (balancer.choose(query.copy(tieBreak = it), nanos) as? Placement.Chosen)?.upstream === entry }
+
     private fun millis(count: Long): Long = Duration.ofMillis(count).toNanos()
 }
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamStatementsModelTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamStatementsModelTest.kt
@@ -87,7 +87,7 @@
                 1 -> pause(entry, life)
                 else -> balancer.onPauseStated(entry, StatedPause.None, clock.nanos)
             }
-            balancer.onRequestFinished(entry, false)
+            balancer.onRequestFinished(entry, false, clock.nanos)
         }
 
         private fun pause(
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -297,8 +297,8 @@
     private fun finish(failed: Boolean?) {
         isFinished = true
         releasePromptTokens()
-        val time = if (failed == false) Duration.ofNanos(context.clock.monotonicNanos() - sentNanos) else null
-        context.balancer.onRequestFinished(entry, failed, time)
+        val now = context.clock.monotonicNanos()
+        context.balancer.onRequestFinished(entry, failed, now, if (failed == false) Duration.ofNanos(now - sentNanos) else null)
         if (wasSent && head?.notRun != true) recordOutcome(failed ?: false)
     }
 
