--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PlacementObstacle.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PlacementObstacle.kt
@@ -2,7 +2,7 @@
 
 /** Reason why an eligible upstream gets no request at the moment. */
 public enum class PlacementObstacle {
-    /** It could not be reached a short time ago. */
+    /** It could not be reached a short time ago, or another process answered at its address. */
     UNREACHABLE,
 
     /** It has asked this instance for a pause. */
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamEntry.kt
@@ -56,8 +56,9 @@
     }
 
     /**
-     * True while no slot can be expected to be free. Its requests take [requestTime] each and leave the slots in turn, so a report of full slots
-     * holds for the time until one is free. From then on a request may find out, at that interval until there is another report.
+     * True while no slot can be expected to be free. Its requests take [requestTime] each and leave the slots in turn, so a report
+     * of full slots holds for the time until one is free. From then on a request may find out, at that interval until there is
+     * another report.
      */
     internal fun isFull(
         requestTime: Duration,
