--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/PlacementQueues.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/PlacementQueues.kt
@@ -1,6 +1,8 @@
 package io.buckthornlever.gateway.request
 
+import io.buckthornlever.core.serving.PlacementQuery
 import io.buckthornlever.core.serving.WaitQueue
+import io.buckthornlever.gateway.process.GatewayEvent
 import java.util.concurrent.TimeUnit
 
 /**
@@ -41,6 +43,25 @@
 
     fun retryAll(): Unit = queues.keys.toList().forEach(::retry)
 
+    /** Logs and counts what keeps the upstreams from taking the request [requestId], which has waited in vain. */
+    fun recordShortage(
+        requestId: String?,
+        query: PlacementQuery,
+        nanos: Long,
+    ) {
+        val shortage = context.balancer.shortage(query, nanos)
+        shortage.obstacles.forEach { (obstacle, count) -> context.metrics.recordObstructed(query.service, obstacle, count) }
+        context.log.write(
+            GatewayEvent.PLACEMENT_FAILED,
+            "request" to requestId,
+            "service" to query.service,
+            "obstacles" to shortage.obstacles,
+            "tried" to shortage.tried,
+            "ownInFlight" to shortage.ownInFlight,
+            "oldestLoadMillis" to shortage.oldestLoadAge?.toMillis(),
+        )
+    }
+
     private fun scheduleRetry() {
         if (isRetryScheduled) return
         isRetryScheduled = true
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -131,25 +131,11 @@
         }
         if (now < queueDeadlineNanos) return if (triedUpstreams.isEmpty()) QueueStep.SATURATED else QueueStep.BLOCKED
         leaveQueue()
-        recordShortage(now)
+        context.queues.recordShortage(head.requestId, placementQuery(), now)
         giveUp(if (placement is Placement.Busy) "no upstream is free" else "no upstream is available", RequestLimits.RETRY_AFTER)
         return QueueStep.DONE
     }
 
-    private fun recordShortage(now: Long) {
-        val shortage = context.balancer.shortage(placementQuery(), now)
-        shortage.obstacles.forEach { (obstacle, count) -> context.metrics.recordObstructed(service, obstacle, count) }
-        context.log.write(
-            GatewayEvent.PLACEMENT_FAILED,
-            "request" to head.requestId,
-            "service" to service,
-            "obstacles" to shortage.obstacles,
-            "tried" to shortage.tried,
-            "ownInFlight" to shortage.ownInFlight,
-            "oldestLoadMillis" to shortage.oldestLoadAge?.toMillis(),
-        )
-    }
-
     override fun onCallerDisconnected() {
         if (isFinished) return
         context.log.write(GatewayEvent.CALLER_LEFT, "request" to head.requestId, "route" to route.name, "proof" to proof)
