Log the connection and the status of each attempt

A request refused after two attempts logged only the connection of the last one, so a request that is sent again on the connection of its refusal (hypothesis A) could not be told from an instance that refuses on its own (C).

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -244,6 +244,8 @@
             GatewayEvent.ATTEMPT_ENDED,
             "request" to head.requestId,
             "upstream" to attempt.entry.upstream.id,
+            "status" to attempt.status,
+            "connection" to attempt.localPort,
             "end" to end,
             "proof" to proof,
             "output" to attempt.hasOutput,
