Send a request again on another connection than that of its refusal

Cause: connections are pooled by address, and a request avoids upstreams it has tried by their id. When a process has taken over the address of another registration, it answers 421, and the request is sent to its own registration on the connection of that refusal. A copy of the refusal has the id of the request, so it was taken for the answer to the second attempt.

Change: a connection excludes the requests that were refused or failed on it, and the pool gives such a request another one. At most 64 ids are remembered per connection.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
@@ -33,13 +33,16 @@
     /**
      * Passes a pooled connection to [address] that has been idle for at most [maxIdle], or else a new one, to [done]. The error
      * is the reason why no connection could be opened; no byte of a request has been sent in that case.
+     *
+     * @param requestId id of the request; it gets no connection that excludes it
      */
     public fun acquire(
         address: ServerAddress,
         maxIdle: Duration,
+        requestId: String? = null,
         done: (Result<OutboundConnection, String>) -> Unit,
     ) {
-        val pooled = takeIdle(address, maxIdle)
+        val pooled = takeIdle(address, maxIdle, requestId)
         if (pooled != null) done(Ok(pooled)) else open(address, done)
     }
 
@@ -51,18 +54,22 @@
     private fun takeIdle(
         address: ServerAddress,
         maxIdle: Duration,
+        requestId: String?,
     ): OutboundConnection? {
         val idleConnections = idle[address] ?: return null
-        val now = clock.monotonicNanos()
-        while (idleConnections.isNotEmpty()) {
-            val candidate = idleConnections.removeLast()
-            val allowed = candidate.keepAliveTimeout?.minus(KEEP_ALIVE_MARGIN) ?: maxIdle
-            val usable = now - candidate.idleSinceNanos <= minOf(allowed, maxIdle).toNanos()
-            if (candidate.isOpen && usable) return candidate
-            candidate.close()
-        }
-        idle.remove(address)
-        return null
+        idleConnections.removeIf { connection -> !isUsable(connection, maxIdle).also { if (!it) connection.close() } }
+        val chosen = idleConnections.lastOrNull { requestId == null || it.allows(requestId) }
+        idleConnections.remove(chosen)
+        if (idleConnections.isEmpty()) idle.remove(address)
+        return chosen
+    }
+
+    private fun isUsable(
+        connection: OutboundConnection,
+        maxIdle: Duration,
+    ): Boolean {
+        val allowed = connection.keepAliveTimeout?.minus(KEEP_ALIVE_MARGIN) ?: maxIdle
+        return connection.isOpen && clock.monotonicNanos() - connection.idleSinceNanos <= minOf(allowed, maxIdle).toNanos()
     }
 
     private fun open(
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
@@ -34,6 +34,7 @@
     private var interimResponses = 0
     private var isReusable = false
     private var isUsed = false
+    private val excludedRequests = HashSet<String>()
 
     /** True if an earlier request was sent on this connection, so that a late response to it may still arrive. */
     public var isReused: Boolean = false
@@ -77,6 +78,18 @@
         }
     }
 
+    /**
+     * Excludes the request [requestId], which was refused or failed here, from this connection. A copy of that response may still arrive,
+     * and its id does not tell it from the response to the same request when that is sent again.
+     */
+    internal fun exclude(requestId: String) {
+        excludedRequests.add(requestId)
+        if (excludedRequests.size > MAX_EXCLUDED_REQUESTS) close()
+    }
+
+    /** True if the request [requestId] may be sent on this connection. */
+    internal fun allows(requestId: String): Boolean = requestId !in excludedRequests
+
     /** Pauses or resumes reading, as backpressure from a receiver that is slower than the server. */
     public fun setAutoRead(enabled: Boolean) {
         channel.config().isAutoRead = enabled
@@ -175,6 +188,9 @@
     private companion object {
         const val FIRST_FINAL_STATUS = 200
 
+        /** Excluded requests that a connection remembers; it is closed when there are more. */
+        const val MAX_EXCLUDED_REQUESTS = 64
+
         /** Interim (1xx) responses accepted before the final one; servers send one or two. */
         const val MAX_INTERIM_RESPONSES = 8
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -80,7 +80,7 @@
         request: () -> FullHttpRequest,
     ) {
         context.balancer.onRequestSent(entry, promptTokens, context.clock.monotonicNanos())
-        context.pool.acquire(ServerAddress(entry.upstream.host, entry.upstream.port), maxIdle) { result ->
+        context.pool.acquire(ServerAddress(entry.upstream.host, entry.upstream.port), maxIdle, requestId) { result ->
             result.onSuccess { send(it, request) }
             result.onFailure { failUnreachable(it) }
         }
@@ -291,6 +291,7 @@
         failure: BufferedResponse? = null,
     ) {
         finish(failed)
+        requestId?.let { connection?.exclude(it) }
         listener.onFailed(this, end, failure)
     }
 
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/OutboundConnectionTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/OutboundConnectionTest.kt
@@ -125,6 +125,24 @@
         assertTrue(idle.isEmpty())
     }
 
+    @Test
+    fun `a connection excludes a request that was refused on it and no other`() {
+        send()
+        receive("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        connection.exclude("r1")
+        assertFalse(connection.allows("r1"))
+        assertTrue(connection.allows("r2"))
+        assertTrue(channel.isOpen)
+    }
+
+    @Test
+    fun `a connection that refuses many requests is closed`() {
+        send()
+        receive("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        repeat(100) { connection.exclude("r$it") }
+        assertFalse(channel.isOpen)
+    }
+
     private fun send() = connection.send(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), listener)
 
     private fun receive(text: String) {
