Log the era of the store

A revision in the log could not be placed before or after a restore of the store from a copy. Nothing is decided from it yet. StoreRevision describes revisions that stay ordered over eras; the stand-ins of the store can be restored from a copy.

--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateObject.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateObject.kt
@@ -5,7 +5,7 @@
 /**
  * An object of the shared store.
  *
- * @property revision store revision of its last change
+ * @property revision store revision of its last change, a [StoreRevision]
  * @property value decoded content; null when the stored content cannot be decoded
  */
 @Serializable
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateStore.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StateStore.kt
@@ -4,8 +4,17 @@
 import io.buckthornlever.api.version.MoveStatus
 import java.time.Duration
 
-/** The shared store. Callbacks run on the thread that made the call, but never before the call has returned. */
+/**
+ * The shared store. Callbacks run on the thread that made the call, but never before the call has returned.
+ *
+ * The store may be restored from a copy that lacks the newest changes, also acknowledged ones. Its revisions, as [StoreRevision]
+ * describes them, then go on in the next era: watches from a revision of an earlier era fail with [StateFailure.HistoryGone], writes
+ * that expect one with [StateFailure.Conflict].
+ */
 public interface StateStore {
+    /** Highest era of the store that a response to this instance has named; 0 before the first. */
+    public val era: Long
+
     /** Lists objects of [kind] whose names sort after [after]; [stale] permits a cheaper listing that may be seconds old. */
     public fun list(
         kind: StateKind,
@@ -14,7 +23,7 @@
         done: (Result<StatePage, StateFailure>) -> Unit,
     )
 
-    /** Waits at most [wait] for changes of [kind] after revision [since]. */
+    /** Waits at most [wait] for changes of [kind] after revision [since], which is of the current era. */
     public fun watch(
         kind: StateKind,
         since: Long,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
@@ -8,7 +8,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
@@ -49,6 +51,9 @@
         }
     }
 
+    /** Runs [action] on the thread of the calls, after the caller has returned. */
+    public fun runLater(action: () -> Unit): Unit = loop.execute(action)
+
     private fun request(
         method: HttpMethod,
         path: String,
@@ -69,6 +74,7 @@
     ) : ExchangeListener {
         private var connection: OutboundConnection? = null
         private var status = 0
+        private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
         private val body = ByteArrayOutputStream()
         private var finished = false
         var onDone: () -> Unit = {}
@@ -92,6 +98,7 @@
 
         override fun onHead(response: HttpResponse): HeadDecision {
             status = response.status().code()
+            headers = response.headers()
             return HeadDecision.ACCEPT
         }
 
@@ -101,7 +108,7 @@
             finish(Err(HttpCallFailure("response exceeds $maxResponseBytes bytes", true, isTooLarge = true)))
         }
 
-        override fun onCompleted() = finish(Ok(HttpCallResponse(status, body.toByteArray())))
+        override fun onCompleted() = finish(Ok(HttpCallResponse(status, headers, body.toByteArray())))
 
         override fun onBroken(
             reason: String,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -146,6 +146,7 @@
     private var liveInstances: Set<String>? = null
     private var areInstancesListed = false
     private var storeUnavailable = false
+    private val restoreDetector = StoreRestoreDetector(store, log, ::onStoreRestored)
     private val lapseGrace = LapseGracePeriod()
 
     /** Time after the start of a shutdown beyond which new requests are refused, since they may outlast the rest of the grace. */
@@ -191,6 +192,9 @@
         metrics.registerGauge("buckthornlever_leaving_upstreams", "Registered upstreams that have announced their end") {
             balancer.upstreams.count { it.isLeaving }.toDouble()
         }
+        metrics.registerGauge("buckthornlever_store_era", "Era of the store, which rises when it is restored from a copy") {
+            (restoreDetector.era ?: 0).toDouble()
+        }
         metrics.registerGauge("buckthornlever_blocked_prompt_parts", "Prompt parts blocked since runs with them crashed upstreams") {
             poisonParts.blocked.size.toDouble()
         }
@@ -280,6 +284,10 @@
         log.write(GatewayEvent.PAUSE_DETECTED, "millis" to paused.toMillis())
     }
 
+    /** What this instance has written since the copy was taken is written again, and what it knows outlasts what the copy has. */
+    private fun onStoreRestored() {
+    }
+
     private fun updateMembers() {
         if (!areInstancesListed) return
         retryBudget.instances = peers.registeredCount + 1
@@ -453,6 +461,7 @@
             kind: StateKind,
             sentNanos: Long,
         ) {
+            restoreDetector.check()
             if (kind == StateKind.UPSTREAMS) lapseGrace.onStoreAnswered(clock.monotonicNanos())
             if (!storeUnavailable) return
             storeUnavailable = false
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -19,6 +19,7 @@
     HISTORY_GONE("BL-2105", Level.INFO, "store forgot the history; everything is listed again"),
     RELAY_CHANGED("BL-2106", Level.INFO, "another instance is followed for the shared state"),
     RELAY_FAILED("BL-2107", Level.WARN, "followed instance gave no usable answer"),
+    STORE_RESTORED("BL-2108", Level.WARN, "store was restored from a copy"),
     UPSTREAM_REGISTERED("BL-2201", Level.INFO, "upstream registered or changed"),
     UPSTREAM_GONE("BL-2202", Level.INFO, "upstream is gone"),
     UPSTREAM_LAPSED("BL-2203", Level.INFO, "upstream's registration lapsed while the store was away"),
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayedStore.kt
@@ -13,6 +13,7 @@
 import io.buckthornlever.api.serving.StateKind
 import io.buckthornlever.api.serving.StatePage
 import io.buckthornlever.api.serving.StateStore
+import io.buckthornlever.api.serving.StoreRevision
 import io.buckthornlever.core.serving.RelaySelector
 import io.buckthornlever.gateway.connection.ConnectionPool
 import io.buckthornlever.gateway.connection.HttpCallClient
@@ -42,6 +43,9 @@
     private val calls = HashMap<ServerAddress, HttpCallClient>()
     private var relayName: String? = null
     private var storeFailedAt = Long.MIN_VALUE / 2
+    private var relayedEra = 0L
+
+    override val era: Long get() = maxOf(direct.era, relayedEra)
 
     override fun list(
         kind: StateKind,
@@ -153,6 +157,7 @@
     ): RelayResult? {
         if (httpResult.status != OK) return null
         val response = CborCodec.decode(RelayResponse.serializer(), httpResult.body).getOrElse { return null }
+        relayedEra = maxOf(relayedEra, StoreRevision.eraOf(response.revision))
         return RelayResult(response, minOf(sent + response.asOfOffsetNanos, clock.monotonicNanos()))
     }
 
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/FeedWaitTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/FeedWaitTest.kt
@@ -79,6 +79,8 @@
     }
 
     private class RecordingStore : StateStore {
+        override val era: Long = 0
+
         val waits = ConcurrentHashMap<StateKind, Duration>()
         val watched = CountDownLatch(4)
 
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/InMemoryStore.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/InMemoryStore.kt
@@ -10,6 +10,7 @@
 import io.buckthornlever.api.serving.StatePage
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.StoreRevision
 import io.buckthornlever.api.serving.VersionOrder
 import io.buckthornlever.api.version.MoveStatus
 import java.time.Duration
@@ -18,14 +19,33 @@
 internal class InMemoryStore : StateStore {
     private val objects = HashMap<Pair<StateKind, String>, StateObject>()
     private var revision = 0L
+    private var copy = emptyMap<Pair<StateKind, String>, StateObject>()
+    private var copiedRevision = 0L
     var reads = 0
 
+    override var era: Long = 0
+        private set
+
     /** Refuses every call. */
     var isRefusing = false
 
     /** Carries out writes without answering them. */
     var losesAnswers = false
 
+    /** Copies the content, which [restore] brings back. */
+    fun backUp() {
+        copy = objects.toMap()
+        copiedRevision = revision
+    }
+
+    /** Replaces the content with the copy, in a new era with the revisions of the copy. */
+    fun restore() {
+        era++
+        revision = copiedRevision
+        objects.clear()
+        copy.mapValuesTo(objects) { (_, item) -> item.copy(revision = StoreRevision.of(era, StoreRevision.numberOf(item.revision))) }
+    }
+
     /** Content of the object [name], null if there is none. */
     fun valueOf(
         kind: StateKind,
@@ -107,7 +127,7 @@
         kind: StateKind,
         name: String,
         value: StateValue,
-    ): StateObject = StateObject(name, ++revision, value).also { objects[kind to name] = it }
+    ): StateObject = StateObject(name, StoreRevision.of(era, ++revision), value).also { objects[kind to name] = it }
 
     private companion object {
         val REFUSED = Err(StateFailure.Refused("HTTP status 503"))
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelayTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelayTest.kt
@@ -128,6 +128,8 @@
     }
 
     private class CountingStore : StateStore {
+        override val era: Long = 0
+
         val calls = AtomicInteger()
 
         override fun list(
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
@@ -158,6 +158,8 @@
     private class SingleWatchStore(
         private val changes: List<StateChange>,
     ) : StateStore {
+        override val era: Long = 0
+
         private var hasAnswered = false
 
         override fun list(
