Order revisions of the store over restores

Cause: feeds and relays compare revisions, and a restored store gives them out again. An object changed after the restore has a lower revision than the known one and was ignored; a watch went on from a revision that means something else now.

Change: a revision has the era in its upper bits, so those of a later era are above all earlier ones. Relays pass on the table in force, also while the store has an older one.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayLog.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayLog.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.api.serving.StateChange
 import io.buckthornlever.api.serving.StateObject
+import io.buckthornlever.api.serving.StoreRevision
 import java.time.Duration
 
 /**
@@ -75,7 +76,9 @@
     ): RelayReply {
         if (!isAvailable(nanos)) return RelayReply.Unavailable
         if (since == null) return RelayReply.Changes(objects.values.map { StateChange(it, false) }, revision, confirmedAt)
-        if (since < historyStart) return RelayReply.HistoryGone
+        // A follower may know changes that the store has lost, of which this log has no deletion.
+        if (since < historyStart || StoreRevision.eraOf(since) < StoreRevision.eraOf(revision)) return RelayReply.HistoryGone
+        if (StoreRevision.eraOf(since) > StoreRevision.eraOf(revision)) return RelayReply.Unavailable
         val changes = history.values.filter { it.revision > since }.map { it.change }
         return RelayReply.Changes(changes, maxOf(revision, since), confirmedAt)
     }
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/RelayLogTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/RelayLogTest.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.core.serving
 
 import io.buckthornlever.api.serving.StateObject
+import io.buckthornlever.api.serving.StoreRevision
 import java.time.Duration
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -43,6 +44,20 @@
         assertEquals(RelayReply.Changes(emptyList(), 9, 10), log.reply(9, 20))
     }
 
+    @Test
+    fun `a follower from before a restore of the store has to list`() {
+        log.onSynchronised(StoreRevision.of(1, 5), 10)
+        log.onSynchronised(StoreRevision.of(2, 3), 20)
+        assertIs<RelayReply.HistoryGone>(log.reply(StoreRevision.of(1, 9), 30))
+        assertIs<RelayReply.Changes>(log.reply(StoreRevision.of(2, 3), 30))
+    }
+
+    @Test
+    fun `a relay that has not noticed a restore of the store has nothing for followers that have`() {
+        log.onSynchronised(StoreRevision.of(1, 5), 10)
+        assertIs<RelayReply.Unavailable>(log.reply(StoreRevision.of(2, 3), 20))
+    }
+
     @Test
     fun `an old confirmation is not passed on`() {
         log.onSynchronised(5, 10)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -401,10 +401,10 @@
             kind: StateKind,
             changed: StateObject,
         ) {
-            relayLogs.getValue(kind).onChanged(changed)
+            if (changed.value !is StateValue.Table) relayLogs.getValue(kind).onChanged(changed)
             when (val value = changed.value) {
                 null -> onUnreadable(kind, changed)
-                is StateValue.Table -> onTable(value)
+                is StateValue.Table -> onTable(changed, value)
                 is StateValue.Upstream -> {
                     balancer.onRegistered(value.upstream, clock.monotonicNanos())
                     log.write(
@@ -511,8 +511,14 @@
         if (kind == StateKind.QUOTA_HOLDINGS) quotaAllocations.update(changed.revision, QuotaHoldings(emptyMap()))
     }
 
-    private fun onTable(value: StateValue.Table) {
-        if (!tableCache.updateIfNewer(value.table)) return
+    private fun onTable(
+        changed: StateObject,
+        value: StateValue.Table,
+    ) {
+        val isNewer = tableCache.updateIfNewer(value.table)
+        // A store that was restored from a copy may have an older table for a moment; followers get the one in force.
+        relayLogs.getValue(StateKind.SERVING_TABLE).onChanged(changed.copy(value = tableCache.table?.let(StateValue::Table)))
+        if (!isNewer) return
         balancer.updateTable(value.table)
         log.write(GatewayEvent.TABLE_IN_FORCE, "version" to value.table.version, "routes" to value.table.routes.size)
     }
