Give out no fencing token and report no usage window twice after a restore

Cause: the lease, its fencing token and the record of a window were taken for lasting once the store had acknowledged them.

Change: a fencing token of an earlier era permits nothing, and its holder resigns; since a token is above the revision of the lease record, those of a later era are above all earlier ones. What an instance has persisted it persists again. A holder reports windows that may have been reported before the restore only as they are stored.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
@@ -13,6 +13,7 @@
 import io.buckthornlever.api.serving.StateObject
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.StoreRevision
 import io.buckthornlever.api.serving.StoredDutyLease
 import io.buckthornlever.api.serving.UsageWindow
 import io.buckthornlever.core.process.lease.LeaseCommand
@@ -26,6 +27,8 @@
 import io.buckthornlever.core.process.membership.Moment
 import io.buckthornlever.core.serving.UsageLedger
 import java.time.Duration
+import java.util.TreeMap
+import java.util.TreeSet
 
 /**
  * Competes for the duty lease of the site and, while holding it, reports usage windows to the platform. The counts of a window
@@ -48,7 +51,19 @@
     private var gainedAt = Long.MIN_VALUE / 2
     private var supersededFencing = Long.MIN_VALUE
     private var prunedInWindow = Long.MIN_VALUE
+    private var seenFencing: Long? = null
+    private var noticedEra = 0L
+
+    /** Windows before this one may have been reported by a holder whose record of it is lost, with other counts. */
+    private var firstCountedWindow = Long.MIN_VALUE
+
+    /** Since this window no other instance can have persisted one, while this instance holds the lease. */
+    private var firstHeldWindow = Long.MAX_VALUE
     private val reportedWindows = HashSet<Long>()
+
+    /** What this instance has persisted or reported; the store may lose it. */
+    private val persistedWindows = TreeMap<Long, UsageWindow>()
+    private val lostWindows = TreeSet<Long>()
     private val pendingWindows = HashSet<Long>()
 
     /** Fencing token of the lease while this instance may act on it, null otherwise. */
@@ -86,12 +101,38 @@
             lastStepAt = now.nanos
             step(LeaseEvent.Tick)
         }
+        if (state.held?.let { isOfEarlierEra(it.fencing) } == true) step(LeaseEvent.ResignRequested)
         pruneLedger(now.wallMillis)
+        lostWindows.toList().forEach(::persistAgain)
         val hasGatheredUsage = now.nanos - gainedAt >= USAGE_GATHERING_TIME.toNanos()
         if (usageWindow != null && permit() != null && hasGatheredUsage) reportUsage(now.wallMillis)
     }
 
-    private fun permit(): LeasePermit? = leaseMachine.permit(state, true, Moment.of(clock))?.takeIf { it.fencing > supersededFencing }
+    /** The store was restored from a copy: the lease is lost and the usage windows persisted since have to be persisted again. */
+    fun onStoreRestored() {
+        onEraChanged()
+        val heldLease = leaseMachine.permit(state, true, Moment.of(clock)) != null
+        if (usageWindow != null && heldLease) {
+            // Windows that were due while the store was away; nobody has reported them.
+            for (index in firstHeldWindow until firstCountedWindow) {
+                usageLedger.total(index).takeIf { it.counts.isNotEmpty() }?.let { persistedWindows.putIfAbsent(index, it) }
+            }
+        }
+        lostWindows.addAll(persistedWindows.keys)
+    }
+
+    private fun onEraChanged() {
+        noticedEra = store.era
+        firstCountedWindow = newestSettledWindow(clock.now().toEpochMilli()) + 1
+    }
+
+    private fun newestSettledWindow(wallMillis: Long): Long = usageLedger.windowIndex(wallMillis - USAGE_SETTLING_TIME.toMillis()) - 1
+
+    private fun permit(): LeasePermit? =
+        leaseMachine.permit(state, true, Moment.of(clock))?.takeIf { it.fencing > supersededFencing && !isOfEarlierEra(it.fencing) }
+
+    /** True if the store has been restored since [fencing] was given out, so that another instance may hold the lease. */
+    private fun isOfEarlierEra(fencing: Long): Boolean = StoreRevision.eraOf(fencing) < store.era
 
     private fun step(event: LeaseEvent) {
         val transition = leaseMachine.step(state, event, Moment.of(clock))
@@ -106,6 +147,10 @@
             is LeaseCommand.Gained -> {
                 reportedWindows.clear()
                 gainedAt = clock.monotonicNanos()
+                firstHeldWindow = usageLedger.windowIndex(clock.now().toEpochMilli())
+                val seenEra = seenFencing?.let(StoreRevision::eraOf)
+                // A process that started after the restore has not noticed it.
+                if (seenEra != null && seenEra < store.era && noticedEra != store.era) onEraChanged()
                 log.write(GatewayEvent.LEASE_GAINED, "fencing" to command.fencing)
             }
             is LeaseCommand.Lost -> log.write(GatewayEvent.LEASE_LOST, "reason" to command.reason)
@@ -114,9 +159,15 @@
 
     private fun readLease() {
         store.read(StateKind.LEASES, LEASE_NAME) { result ->
-            result.onSuccess { found -> step(LeaseEvent.ReadDone(ObjectVersion(found.revision), toStoredLease(found))) }
+            result.onSuccess { found ->
+                val lease = toStoredLease(found)
+                seenFencing = lease?.record?.fencing
+                step(LeaseEvent.ReadDone(ObjectVersion(found.revision), lease))
+            }
             result.onFailure { failure ->
-                step(if (failure == StateFailure.NotFound) LeaseEvent.ReadDone(ObjectVersion(0), null) else LeaseEvent.ReadFailed)
+                if (failure != StateFailure.NotFound) return@onFailure step(LeaseEvent.ReadFailed)
+                seenFencing = null
+                step(LeaseEvent.ReadDone(ObjectVersion(StoreRevision.of(store.era, 0)), null))
             }
         }
     }
@@ -151,10 +202,12 @@
         prunedInWindow = index
         usageLedger.forgetBefore(index - RETAINED_WINDOWS)
         reportedWindows.removeIf { it < index - RETAINED_WINDOWS }
+        persistedWindows.headMap(index - RETAINED_WINDOWS).clear()
+        lostWindows.headSet(index - RETAINED_WINDOWS).clear()
     }
 
     private fun reportUsage(wallMillis: Long) {
-        val newest = usageLedger.windowIndex(wallMillis - USAGE_SETTLING_TIME.toMillis()) - 1
+        val newest = newestSettledWindow(wallMillis)
         for (index in newest - LOOKBACK_WINDOWS..newest) {
             if (index in reportedWindows || !pendingWindows.add(index)) continue
             persistCounts(index)
@@ -166,7 +219,7 @@
         val name = index.toString()
         val window = usageLedger.total(index)
         // The window may have ended before this process received any counts from its peers.
-        if (window.counts.isEmpty()) return reportStored(name, index)
+        if (window.counts.isEmpty() || index < firstCountedWindow) return reportStored(name, index)
         store.create(StateKind.USAGE_WINDOWS, name, StateValue.Usage(window)) { result ->
             result.onSuccess { report(window) }
             result.onFailure { failure ->
@@ -175,6 +228,16 @@
         }
     }
 
+    private fun persistAgain(index: Long) {
+        val window = persistedWindows[index] ?: return
+        if (!pendingWindows.add(index)) return
+        store.create(StateKind.USAGE_WINDOWS, index.toString(), StateValue.Usage(window)) { result ->
+            pendingWindows.remove(index)
+            result.onSuccess { lostWindows.remove(index) }
+            result.onFailure { if (it is StateFailure.Conflict) lostWindows.remove(index) }
+        }
+    }
+
     private fun reportStored(
         name: String,
         index: Long,
@@ -186,6 +249,7 @@
     }
 
     private fun report(window: UsageWindow) {
+        persistedWindows[window.index] = window
         val permit = permit()
         if (permit == null) {
             pendingWindows.remove(window.index)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -286,6 +286,7 @@
 
     /** What this instance has written since the copy was taken is written again, and what it knows outlasts what the copy has. */
     private fun onStoreRestored() {
+        dutyRunner.onStoreRestored()
     }
 
     private fun updateMembers() {
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
@@ -3,6 +3,8 @@
 import io.buckthornlever.api.process.AccountId
 import io.buckthornlever.api.serving.DutyOutcome
 import io.buckthornlever.api.serving.SingletonDuties
+import io.buckthornlever.api.serving.StateKind
+import io.buckthornlever.api.serving.StateValue
 import io.buckthornlever.api.serving.UpstreamOrder
 import io.buckthornlever.api.serving.UsageWindow
 import io.buckthornlever.core.process.ManualClock
@@ -46,6 +48,78 @@
         assertEquals(2, store.reads)
     }
 
+    @Test
+    fun `no fencing token is given out again after the store has lost the newest leases`() {
+        runner.tick(true)
+        store.backUp()
+        val seen = ArrayList<Long>()
+        val second = DutyRunner("j", clock, store, duties, ledger, WINDOW, Duration.ofSeconds(3), EventLog("j"))
+        repeat(2) {
+            clock.advance(Duration.ofSeconds(10))
+            repeat(30) {
+                second.tick(true)
+                clock.advance(Duration.ofMillis(200))
+            }
+            seen.add(assertNotNull(second.fencing))
+            store.restore()
+            assertNull(second.fencing, "acts on a lease that the store has lost")
+        }
+        assertEquals(seen.distinct(), seen)
+        assertEquals(seen.sorted(), seen)
+    }
+
+    @Test
+    fun `a window that was reported before the store lost its record is reported again with the same counts only`() {
+        store.backUp()
+        ledger.onStarted(ACCOUNT, clock.now().toEpochMilli())
+        clock.advance(WINDOW.plusSeconds(2))
+        tickFor(Duration.ofSeconds(4))
+        assertEquals(listOf(1L), duties.reports.map { it.counts.getValue(ACCOUNT) })
+        val others = UsageLedger(WINDOW.toMillis())
+        others.onStarted(ACCOUNT, clock.now().minus(WINDOW).minusSeconds(5).toEpochMilli())
+        others.updatePeer("i", 1, mapOf(others.windowIndex(clock.now().toEpochMilli()) - 1 to mapOf(ACCOUNT to 1L)))
+        val second = DutyRunner("j", clock, store, duties, others, WINDOW, Duration.ofSeconds(3), EventLog("j"))
+        store.restore()
+        second.onStoreRestored()
+        repeat(40) {
+            clock.advance(Duration.ofMillis(200))
+            second.tick(true)
+        }
+        assertNotNull(second.fencing)
+        val byWindow = duties.reports.groupBy { it.index }.mapValues { (_, reports) -> reports.map { it.counts }.distinct().size }
+        assertEquals(emptyMap(), byWindow.filterValues { it > 1 })
+    }
+
+    @Test
+    fun `a window that was due while the store was away is persisted after the restore`() {
+        runner.tick(true)
+        store.backUp()
+        val index = ledger.windowIndex(clock.now().toEpochMilli())
+        ledger.onStarted(ACCOUNT, clock.now().toEpochMilli())
+        tickFor(WINDOW.plusSeconds(1))
+        store.isRefusing = true
+        tickFor(Duration.ofMillis(1_000))
+        store.restore()
+        store.isRefusing = false
+        runner.onStoreRestored()
+        tickFor(Duration.ofMillis(400))
+        assertEquals(StateValue.Usage(ledger.total(index)), store.valueOf(StateKind.USAGE_WINDOWS, index.toString()))
+    }
+
+    @Test
+    fun `a holder persists the windows that it has reported again after the store has lost them`() {
+        store.backUp()
+        ledger.onStarted(ACCOUNT, clock.now().toEpochMilli())
+        clock.advance(WINDOW.plusSeconds(2))
+        tickFor(Duration.ofSeconds(4))
+        val window = duties.reports.single()
+        store.restore()
+        assertNull(store.valueOf(StateKind.USAGE_WINDOWS, window.index.toString()))
+        runner.onStoreRestored()
+        tickFor(Duration.ofMillis(400))
+        assertEquals(StateValue.Usage(window), store.valueOf(StateKind.USAGE_WINDOWS, window.index.toString()))
+    }
+
     private fun tickFor(time: Duration) {
         repeat((time.toMillis() / 200).toInt()) {
             clock.advance(Duration.ofMillis(200))
