Keep requests from upstreams that a restored store brings back

A copy of the store may have upstreams as ready that have announced their end or have left since. Their registrations end or are written again within seconds, so such an upstream gets no requests for 5 s, and one that is leaving stays so. A registration that is missing counts as lapsed, like one that expired while the store was away.

Measured: the tests in UpstreamBalancerTest; the existing ones are unchanged but for the time of birth that all their upstreams now state.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/LapseGracePeriod.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/LapseGracePeriod.kt
@@ -21,6 +21,11 @@
         isStoreLost = false
     }
 
+    /** Records at [nanos] that the store was restored from a copy, which lacks the newest registrations. */
+    public fun onStoreRestored(nanos: Long) {
+        storeBackAt = nanos
+    }
+
     /** True while a missing registration may only have expired. */
     public fun isActive(nanos: Long): Boolean = isStoreLost || nanos - storeBackAt <= GRACE_PERIOD.toNanos()
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -23,6 +23,8 @@
 ) {
     private val entries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val formerEntries = LinkedHashMap<UpstreamId, UpstreamEntry>()
+    private val departed = LinkedHashMap<UpstreamId, DiscoveredUpstream>()
+    private var restoredNanos = Long.MIN_VALUE / 2
     private val coldLimiter = ColdRateLimiter(self, clock.monotonicNanos())
     private val requestTimes = RequestTimes()
     private val statedRateShares = StatedRateShares(self)
@@ -51,6 +53,14 @@
         evacuated = domains
     }
 
+    /**
+     * Records that the shared store was restored from a copy. Registrations that follow may be older than what is known: an upstream
+     * that has left or is leaving gets no requests meanwhile.
+     */
+    public fun onStoreRestored(nanos: Long) {
+        restoredNanos = nanos
+    }
+
     /** Adds or updates a registered upstream. With another address or service, it starts without load and failure history. */
     public fun onRegistered(
         upstream: DiscoveredUpstream,
@@ -59,15 +69,22 @@
         val known = entries[upstream.id]?.takeUnless { isDifferentProcess(it.upstream, upstream) }
         val entry = known ?: formerEntry(upstream) ?: UpstreamEntry(upstream, nanos)
         entries[upstream.id] = entry
-        entry.upstream = upstream
+        val earlier = departed.remove(upstream.id)?.takeUnless { isDifferentProcess(it, upstream) }
+        val mayBeOutdated = nanos - restoredNanos <= RESTORE_TIME.toNanos()
+        val leaving = upstream.leaving || (mayBeOutdated && (entry.announcedLeaving || earlier?.leaving == true))
+        entry.upstream = upstream.copy(leaving = leaving)
         entry.lapsedAt = null
-        entry.announcedLeaving = upstream.leaving
+        entry.announcedLeaving = leaving
+        if (mayBeOutdated && earlier != null) entry.ejectedUntil = maxOf(entry.ejectedUntil, restoredNanos + RESTORE_TIME.toNanos())
         entry.coldUntil = if (upstream.coldFor.isZero) Long.MIN_VALUE else nanos + upstream.coldFor.toNanos() + COLD_MARGIN.toNanos()
     }
 
     /** Removes the upstream [id], whose registration is gone. */
     public fun onUnregistered(id: UpstreamId) {
-        entries.remove(id)?.let(::rememberEntry)
+        entries.remove(id)?.let {
+            rememberEntry(it)
+            rememberDeparted(it.upstream.copy(leaving = it.announcedLeaving))
+        }
         coldLimiter.remove(id)
         statedRateShares.remove(id)
     }
@@ -278,6 +295,13 @@
         if (formerEntries.size > MAX_FORMER_ENTRIES) formerEntries.remove(formerEntries.keys.first())
     }
 
+    private fun rememberDeparted(upstream: DiscoveredUpstream) {
+        if (upstream.bornMillis == null) return
+        departed.remove(upstream.id)
+        departed[upstream.id] = upstream
+        if (departed.size > MAX_FORMER_ENTRIES) departed.remove(departed.keys.first())
+    }
+
     private fun formerEntry(upstream: DiscoveredUpstream): UpstreamEntry? =
         formerEntries.remove(upstream.id)?.takeIf {
             it.upstream.bornMillis == upstream.bornMillis && !isDifferentProcess(it.upstream, upstream)
@@ -391,6 +415,9 @@
         /** Ejection time of an upstream at whose address another process answered; registrations end within a few seconds. */
         val REPLACED_EJECTION_TIME: Duration = Duration.ofSeconds(5)
 
+        /** Time after a restore of the store within which registrations that are out of date end or are written again. */
+        val RESTORE_TIME: Duration = Duration.ofSeconds(5)
+
         /** Time for which an upstream counts as cold beyond its announcement, since the announcement takes time to arrive. */
         val COLD_MARGIN: Duration = Duration.ofMillis(300)
     }
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
@@ -186,13 +186,53 @@
         assertEquals(first, assertIs<Placement.Chosen>(balancer.choose(query, millis(4_500))).upstream)
     }
 
+    @Test
+    fun `an upstream that leaves gets nothing when a restored store knows it as ready`() {
+        register("u1", leaving = true)
+        balancer.onStoreRestored(millis(100))
+        registerAgain("u1", millis(100))
+        assertIs<Placement.NoUpstream>(balancer.choose(query, millis(100)))
+    }
+
+    @Test
+    fun `an upstream that is gone gets nothing while a restored store still has it`() {
+        register("u1")
+        balancer.onUnregistered(UpstreamId("u1"))
+        balancer.onStoreRestored(millis(100))
+        registerAgain("u1", millis(200))
+        assertIs<Placement.Busy>(balancer.choose(query, millis(5_000)))
+        assertIs<Placement.Chosen>(balancer.choose(query, millis(5_100)))
+    }
+
+    @Test
+    fun `an upstream that has started again gets requests while a restored store still has its predecessor`() {
+        register("u1", leaving = true)
+        balancer.onUnregistered(UpstreamId("u1"))
+        balancer.onStoreRestored(millis(100))
+        balancer.onRegistered(ServingFixtures.upstream("u1").copy(bornMillis = 2), millis(200))
+        assertIs<Placement.Chosen>(balancer.choose(query, millis(200)))
+    }
+
+    @Test
+    fun `an upstream that registers again without a restore gets requests at once`() {
+        register("u1")
+        balancer.onUnregistered(UpstreamId("u1"))
+        registerAgain("u1", millis(200))
+        assertIs<Placement.Chosen>(balancer.choose(query, millis(200)))
+    }
+
+    private fun registerAgain(
+        id: String,
+        nanos: Long,
+    ) = balancer.onRegistered(ServingFixtures.upstream(id).copy(bornMillis = 1), nanos)
+
     private fun register(
         id: String,
         domain: String = "a",
         slots: Int = 4,
         leaving: Boolean = false,
         coldFor: Duration = Duration.ZERO,
-    ) = balancer.onRegistered(ServingFixtures.upstream(id, domain, slots, leaving, coldFor), 0)
+    ) = balancer.onRegistered(ServingFixtures.upstream(id, domain, slots, leaving, coldFor).copy(bornMillis = 1), 0)
 
     private fun chosen(query: PlacementQuery): UpstreamEntry = assertIs<Placement.Chosen>(balancer.choose(query, 0)).upstream
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -286,6 +286,8 @@
 
     /** What this instance has written since the copy was taken is written again, and what it knows outlasts what the copy has. */
     private fun onStoreRestored() {
+        balancer.onStoreRestored(clock.monotonicNanos())
+        lapseGrace.onStoreRestored(clock.monotonicNanos())
         dutyRunner.onStoreRestored()
     }
 
