Keep objects that a restored store has lost until they are written again

A listing that lacks an object counted as its deletion. After a restore that lifted evacuations, withdrew version orders and removed instances that the copy did not have yet, until the operator and the instances had written them again. Such objects are now kept for 5 s.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -161,7 +161,7 @@
         relayListener.listen(settings.peerAddress)
         loop.execute {
             peers.start(settings.peerAddress)
-            feedWaits().forEach { (kind, wait) -> StateFeed(kind, wait, store, loop, clock, FeedListener(kind)).start() }
+            feedWaits().forEach { (kind, wait) -> StateFeed(kind, wait, lostGrace(kind), store, loop, clock, FeedListener(kind)).start() }
             quotaAllocations.read {
                 ceilingStore.onAllocationRead()
                 releaseWaiting()
@@ -311,6 +311,15 @@
             StateKind.QUOTA_HOLDINGS to SLOW_WATCH_WAIT,
         )
 
+    private fun lostGrace(kind: StateKind): Duration =
+        when (kind) {
+            // Their registrations lapse, see [LapseGracePeriod].
+            StateKind.UPSTREAMS -> Duration.ZERO
+            // Only this system writes them.
+            StateKind.QUOTA_HOLDINGS -> Duration.ZERO
+            else -> LOST_GRACE
+        }
+
     private fun register() {
         val value = StateValue.Instance(ownRecord)
         store.create(StateKind.INSTANCES, settings.instance, value) { result ->
@@ -596,5 +605,8 @@
         val UPSTREAMS_WATCH_WAIT: Duration = Duration.ofMillis(1_500)
         val EVACUATIONS_WATCH_WAIT: Duration = Duration.ofSeconds(6)
         val SLOW_WATCH_WAIT: Duration = Duration.ofSeconds(6)
+
+        /** Time for operators and instances to write again what a restored store has lost. */
+        val LOST_GRACE: Duration = Duration.ofSeconds(5)
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
@@ -10,6 +10,7 @@
 import io.buckthornlever.api.serving.StateObject
 import io.buckthornlever.api.serving.StatePage
 import io.buckthornlever.api.serving.StateStore
+import io.buckthornlever.api.serving.StoreRevision
 import io.netty.channel.EventLoop
 import java.time.Duration
 import java.util.concurrent.ThreadLocalRandom
@@ -20,10 +21,12 @@
  * has the history after that revision, the objects are listed again, and objects missing from the new listing count as deleted.
  *
  * @param wait longest wait of one watch; it delays the detection of a silent connection by as much
+ * @param lostGrace time for which an object is kept that the store has lost by a restore; whoever wrote it writes it again
  */
 internal class StateFeed(
     private val kind: StateKind,
     private val wait: Duration,
+    private val lostGrace: Duration,
     private val store: StateStore,
     private val loop: EventLoop,
     private val clock: Clock,
@@ -62,7 +65,7 @@
         }
         if (page.more && page.objects.isNotEmpty()) return list(page.objects.last().name)
         // Keeps objects newer than the listing: a relay's listing may be older than what the store has delivered directly.
-        for (name in knownRevisions.filter { (name, revision) -> name !in listedNames && revision <= listRevision }.keys) remove(name)
+        knownRevisions.filter { (name, revision) -> name !in listedNames && revision <= listRevision }.forEach(::removeMissing)
         listener.onSynchronised(page.asOfNanos ?: sent, listRevision)
         watch(listRevision)
     }
@@ -141,6 +144,15 @@
             }
         }
 
+    /** Removes the object [name] of [revision], which the newest listing lacks; after [lostGrace] if it may have been lost by a restore. */
+    private fun removeMissing(
+        name: String,
+        revision: Long,
+    ) {
+        if (lostGrace.isZero || StoreRevision.eraOf(revision) == StoreRevision.eraOf(listRevision)) return remove(name)
+        loop.schedule({ if (knownRevisions[name] == revision) remove(name) }, lostGrace.toMillis(), TimeUnit.MILLISECONDS)
+    }
+
     private fun remove(name: String) {
         listener.onTombstone(kind, name)
         if (knownRevisions.remove(name) != null) listener.onDeleted(kind, name)
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.gateway.process
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.buckthornlever.api.process.SystemClock
@@ -11,6 +12,7 @@
 import io.buckthornlever.api.serving.StatePage
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.StoreRevision
 import io.buckthornlever.api.serving.VersionOrder
 import io.buckthornlever.api.version.MoveStatus
 import io.netty.channel.nio.NioEventLoopGroup
@@ -85,13 +87,35 @@
         assertEquals("synchronised 9", next())
     }
 
+    @Test
+    fun `objects that a restored store has lost are removed unless they are written again`() {
+        start(RestoredStore(), Duration.ofMillis(200))
+        assertEquals(listOf("changed a", "changed b", "changed c"), List(3) { next() })
+        assertEquals("synchronised ${StoreRevision.of(1, 9)}", next())
+        assertEquals("changed a", next())
+        assertEquals("synchronised ${StoreRevision.of(2, 5)}", next())
+        assertEquals("changed b", next())
+        assertEquals("synchronised ${StoreRevision.of(2, 6)}", next())
+        assertEquals("tombstone c", next())
+        assertEquals("deleted c", next())
+        assertNull(calls.poll(300, TimeUnit.MILLISECONDS))
+    }
+
     private fun follow(vararg changes: StateChange) {
-        val store = SingleWatchStore(changes.toList())
-        val loop = group.next()
-        loop.execute { StateFeed(StateKind.UPSTREAMS, Duration.ofSeconds(1), store, loop, SystemClock, RecordingListener()).start() }
+        start(SingleWatchStore(changes.toList()), Duration.ZERO)
         assertEquals("changed a", next())
     }
 
+    private fun start(
+        store: StateStore,
+        lostGrace: Duration,
+    ) {
+        val loop = group.next()
+        loop.execute {
+            StateFeed(StateKind.UPSTREAMS, Duration.ofSeconds(1), lostGrace, store, loop, SystemClock, RecordingListener()).start()
+        }
+    }
+
     private fun next(): String? = calls.poll(5, TimeUnit.SECONDS)
 
     private inner class RecordingListener : StateFeedListener {
@@ -215,6 +239,39 @@
         ) = Unit
     }
 
+    /** Has lost `b` and `c` by the first watch; `b` is written again before the second one. */
+    private class RestoredStore : StateStore by SingleWatchStore(emptyList()) {
+        private var watches = 0
+
+        override fun list(
+            kind: StateKind,
+            after: String?,
+            stale: Boolean,
+            done: (Result<StatePage, StateFailure>) -> Unit,
+        ) {
+            val era = if (watches == 0) 1L else 2L
+            val names = if (watches == 0) listOf("a", "b", "c") else listOf("a")
+            val objects = names.mapIndexed { i, name -> StateObject(name, StoreRevision.of(era, i + 1L), null) }
+            done(Ok(StatePage(objects, false, StoreRevision.of(era, if (watches == 0) 9 else 5))))
+        }
+
+        override fun watch(
+            kind: StateKind,
+            since: Long,
+            wait: Duration,
+            done: (Result<StateChanges, StateFailure>) -> Unit,
+        ) {
+            when (++watches) {
+                1 -> done(Err(StateFailure.HistoryGone))
+                2 -> {
+                    val written = StateObject("b", StoreRevision.of(2, 6), null)
+                    done(Ok(StateChanges(listOf(StateChange(written, false)), StoreRevision.of(2, 6))))
+                }
+                else -> Unit
+            }
+        }
+    }
+
     private companion object {
         const val FAILING = "failing"
         const val BROKEN = "broken"
