Write again what a restored store has lost

The registration of an instance, its quota ceilings, the evidence on suspect parts, the division of the quotas and the progress of a version order were written once. After a restore their writers took them for recorded. An order without its record counted as a new one, and its move began again.

Change: on a new era each writer reads what the store has and writes what it lacks.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaCeilings.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaCeilings.kt
@@ -39,6 +39,11 @@
         }
     }
 
+    /** The store may have lost the ceilings that this process has recorded; they are written again before others are granted under. */
+    public fun onLost() {
+        if (unconfirmed == null) unconfirmed = recorded
+    }
+
     /** Records that [ceilings] are being written. Until it is known whether they were, the lower of both ceilings is in force. */
     public fun onWriteStarted(ceilings: RecordedCeilings) {
         unconfirmed = ceilings
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveController.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveController.kt
@@ -55,6 +55,8 @@
         status = status?.merge(other) ?: other
     }
 
+    fun onStoreRestored(): Unit = statusWriter.onStoreRestored()
+
     fun onStatusRead(
         stored: MoveStatus?,
         version: ObjectVersion?,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveStatusWriter.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/MoveStatusWriter.kt
@@ -36,6 +36,11 @@
         return MoveCommand.WriteStatus(key, desired, version)
     }
 
+    /** The store may have lost the record; it is read before the next write. */
+    fun onStoreRestored() {
+        isStoredKnown = false
+    }
+
     fun onRead(
         stored: MoveStatus?,
         version: ObjectVersion?,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionMoves.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionMoves.kt
@@ -65,6 +65,9 @@
         if (pendingStops.size > MAX_PENDING_STOPS) pendingStops.remove(pendingStops.keys.first())
     }
 
+    /** The store was restored from a copy and may have lost the newest records. */
+    public fun onStoreRestored(): Unit = controllers.values.forEach { it.onStoreRestored() }
+
     /** Merges a record received from a peer or from a watch on the store. */
     public fun mergeStatus(status: MoveStatus) {
         controllers[status.move.pool]?.mergeStatus(status)
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionOrders.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/version/VersionOrders.kt
@@ -59,6 +59,12 @@
         return known == null
     }
 
+    /** The store was restored from a copy: an order that comes without its record is still the same one, whose record is written again. */
+    public fun onStoreRestored() {
+        orders.replaceAll { _, ordered -> ordered.copy(isRecorded = false) }
+        moves.onStoreRestored()
+    }
+
     /** Records that the order for [service] was withdrawn. */
     public fun onWithdrawn(service: String) {
         if (orders.remove(PoolName(service)) != null) configure()
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/version/VersionOrdersTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/version/VersionOrdersTest.kt
@@ -56,6 +56,21 @@
         assertEquals(VersionChoice.Preferring(order.target), other.choice("s", true))
     }
 
+    @Test
+    fun `a restored store that has lost the record of a move gets it again and the move goes on`() {
+        val holder = orders()
+        holder.onOrder(order, null)
+        val recorded = recordStart(holder, start)
+        holder.onStoreRestored()
+        assertFalse(holder.onOrder(order, null))
+        val later = start.plusSeconds(3)
+        assertTrue(holder.tick(later, lease(later)) { true }.any { it is MoveCommand.ReadStatus })
+        holder.onStatusRead(PoolName("s"), null, ObjectVersion(3))
+        val write = holder.tick(later, lease(later)) { true }.filterIsInstance<MoveCommand.WriteStatus>().single()
+        assertEquals(recorded.move, write.status.move)
+        assertEquals(ObjectVersion(3), write.expected)
+    }
+
     @Test
     fun `each route gives the ordered version its share of the requests`() {
         val holder = orders()
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -289,6 +289,10 @@
         balancer.onStoreRestored(clock.monotonicNanos())
         lapseGrace.onStoreRestored(clock.monotonicNanos())
         dutyRunner.onStoreRestored()
+        ceilingStore.onStoreRestored()
+        suspectPartStore.onStoreRestored()
+        versionOrders.onStoreRestored()
+        register()
     }
 
     private fun updateMembers() {
@@ -465,6 +469,7 @@
                 StateKind.EVACUATIONS -> onEvacuation(FailureDomain(name), false)
                 StateKind.INSTANCES -> peers.removePeer(name)
                 StateKind.VERSION_ORDERS -> versionOrders.onWithdrawn(name)
+                StateKind.QUOTA_HOLDINGS -> quotaAllocations.onLost()
                 else -> Unit
             }
         }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaAllocationStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaAllocationStore.kt
@@ -38,6 +38,7 @@
     var isKnown = false
         private set
 
+    private var isLost = false
     private var isWriting = false
     private var plannedAt = Long.MIN_VALUE / 2
 
@@ -62,10 +63,16 @@
     ) {
         if (revision <= this.revision) return
         this.revision = revision
+        isLost = false
         localLimiter.update(holdings, clock.monotonicNanos())
         log.write(GatewayEvent.QUOTAS_DIVIDED, "revision" to revision, "accounts" to holdings.accounts.size)
     }
 
+    /** The store no longer has the allocation; the lease holder writes the one in force again. */
+    fun onLost() {
+        isLost = true
+    }
+
     /** The allocation read last was the current one in the store at [asOfNanos]. */
     fun onConfirmed(asOfNanos: Long) {
         isKnown = true
@@ -89,7 +96,8 @@
         // At the first start of a site the other instances are still registering.
         if (settings.firstStart && revision == 0L && now - othersChangedAt < REGISTRATION_TIME.toNanos()) return
         plannedAt = now
-        allocator.next(localLimiter.holdings, accounts, others + record)?.let(::write)
+        val next = allocator.next(localLimiter.holdings, accounts, others + record) ?: localLimiter.holdings.takeIf { isLost }
+        next?.let(::write)
     }
 
     private fun write(next: QuotaHoldings) {
@@ -103,7 +111,7 @@
             result.onFailure { log.write(GatewayEvent.QUOTAS_NOT_DIVIDED, "revision" to revision, "failure" to it) }
             Unit
         }
-        if (revision == 0L) {
+        if (revision == 0L || isLost) {
             store.create(StateKind.QUOTA_HOLDINGS, OBJECT_NAME, value, done)
         } else {
             store.replace(StateKind.QUOTA_HOLDINGS, OBJECT_NAME, revision, value, done)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaCeilingStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaCeilingStore.kt
@@ -68,6 +68,14 @@
         update()
     }
 
+    /** The store was restored from a copy, which may lack the ceilings recorded last. */
+    fun onStoreRestored() {
+        if (!isSettled) return
+        ceilings.onLost()
+        isRead = false
+        update()
+    }
+
     /** Writes the ceilings that are due, after reading them again if the result of an earlier call is not known. */
     fun update() {
         val now = clock.monotonicNanos()
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/SuspectPartStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/SuspectPartStore.kt
@@ -51,6 +51,12 @@
         settle()
     }
 
+    /** The store was restored from a copy: what it holds now is read and what it lacks is recorded again. */
+    fun onStoreRestored() {
+        isRead = false
+        recorded = emptyMap()
+    }
+
     /** Records the evidence of all instances if this one [holdsDutyLease] and the store does not have it yet. */
     fun tick(holdsDutyLease: Boolean) {
         if (isCalling || clock.monotonicNanos() - calledAt < CALL_INTERVAL.toNanos()) return
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/QuotaCeilingStoreTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/QuotaCeilingStoreTest.kt
@@ -80,6 +80,29 @@
         assertEquals(80.0, process.available())
     }
 
+    @Test
+    fun `ceilings that a restored store has lost are recorded again`() {
+        val process = start(firstStart = true)
+        store.backUp()
+        process.ceilingStore.raise(ACCOUNT, 60.0)
+        val raised = recorded()
+        assertEquals(60.0, process.available())
+        store.restore()
+        process.ceilingStore.onStoreRestored()
+        assertEquals(raised, recorded())
+        assertEquals(60.0, process.available())
+    }
+
+    @Test
+    fun `an object with ceilings that a restored store has lost is created again`() {
+        store.backUp()
+        val process = start(firstStart = true)
+        store.restore()
+        process.ceilingStore.onStoreRestored()
+        assertEquals(RecordedCeilings(0.5), recorded())
+        assertEquals(40.0, process.available())
+    }
+
     private fun start(firstStart: Boolean = false): Process =
         Process(firstStart, 0.5).apply {
             ceilingStore.start {}
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/SuspectPartStoreTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/SuspectPartStoreTest.kt
@@ -96,6 +96,18 @@
         assertEquals(emptyMap(), recorded()?.evidence)
     }
 
+    @Test
+    fun `evidence that a restored store has lost is recorded again`() {
+        val process = Process(firstStart = true)
+        store.backUp()
+        repeat(3) { process.crash("u$it") }
+        process.tick(holdsDutyLease = true)
+        store.restore()
+        process.partStore.onStoreRestored()
+        repeat(2) { process.tick(holdsDutyLease = true) }
+        assertTrue(Process().tracker.blocks(PARTS))
+    }
+
     private fun recorded(): StateValue.SuspectParts? = store.valueOf(StateKind.SUSPECT_PARTS, "site") as? StateValue.SuspectParts
 
     private fun revision(): Long = store.revisionOf(StateKind.SUSPECT_PARTS, "site")
