Leave older idle connections to requests that may use them

Cause: since the pool closes every idle connection to an address that has been idle for longer than the present request allows, even when a fresher one serves the request. A non-repeatable request (1.5 s) thus closes those that a repeatable one (4 s) would still use, and each has to be opened again.

Change: the search goes from the shortest idle time on and stops at the first connection that is usable and does not exclude the request. It closes only the unusable ones that it meets before.

Measured: ConnectionPoolTest, on: "a request with a short idle limit leaves older connections to others" failed, 3 connections opened, 2 expected. With the change both tests of the class pass.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
@@ -57,9 +57,19 @@
         requestId: String?,
     ): OutboundConnection? {
         val idleConnections = idle[address] ?: return null
-        idleConnections.removeIf { connection -> !isUsable(connection, maxIdle).also { if (!it) connection.close() } }
-        val chosen = idleConnections.lastOrNull { requestId == null || it.allows(requestId) }
-        idleConnections.remove(chosen)
+        // From the connection with the shortest idle time on. Older ones are left: another request may use them for longer than this one.
+        val candidates = idleConnections.listIterator(idleConnections.size)
+        var chosen: OutboundConnection? = null
+        while (chosen == null && candidates.hasPrevious()) {
+            val candidate = candidates.previous()
+            if (!isUsable(candidate, maxIdle)) {
+                candidates.remove()
+                candidate.close()
+            } else if (requestId == null || candidate.allows(requestId)) {
+                candidates.remove()
+                chosen = candidate
+            }
+        }
         if (idleConnections.isEmpty()) idle.remove(address)
         return chosen
     }
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/ConnectionPoolTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/ConnectionPoolTest.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
@@ -18,7 +19,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** Guards against a pool that grows with the number of servers that have ever been there. */
+/** Guards against a pool that grows with the number of servers that have ever been there, and against needless new connections. */
 class ConnectionPoolTest {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -39,6 +40,50 @@
         assertEquals(1, pool.idleCount)
     }
 
+    @Test
+    fun `a request with a short idle limit leaves older connections to others`() {
+        // Guards against a search for an idle connection that closes every older one, each of which would have to be opened again.
+        ServerSocket(0, 5, InetAddress.getLoopbackAddress()).use { server ->
+            thread(isDaemon = true) {
+                while (true) {
+                    val socket = runCatching { server.accept() }.getOrNull() ?: break
+                    thread(isDaemon = true) { socket.use { answerAll(it) } }
+                }
+            }
+            callAtOnce(2, server.localPort, Duration.ofSeconds(4))
+            clock.advance(Duration.ofSeconds(2))
+            callAtOnce(1, server.localPort, Duration.ofSeconds(4))
+            callAtOnce(1, server.localPort, Duration.ofSeconds(1))
+            callAtOnce(2, server.localPort, Duration.ofSeconds(4))
+            assertEquals(2, pool.openedCount)
+        }
+    }
+
+    /** Sends [count] requests at the same time, each on a connection that has been idle for at most [maxIdle]. */
+    private fun callAtOnce(
+        count: Int,
+        port: Int,
+        maxIdle: Duration,
+    ) {
+        val completed = List(count) { CompletableFuture<Unit>() }
+        loop.execute {
+            for (call in completed) {
+                pool.acquire(ServerAddress("127.0.0.1", port), maxIdle) { result ->
+                    result.onSuccess { it.send(request(), Completion(call)) }
+                }
+            }
+        }
+        completed.forEach { it.get(10, TimeUnit.SECONDS) }
+    }
+
+    private fun answerAll(socket: Socket) {
+        val lines = socket.getInputStream().bufferedReader()
+        while (true) {
+            val line = lines.readLine() ?: return
+            if (line.isEmpty()) socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".encodeToByteArray())
+        }
+    }
+
     /** Sends one request to a server of its own. */
     private fun call() {
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
