Resume a stream on another connection than that of its cut part

Cause: a connection excludes a request when its attempt fails by itself. Two failures are found by the request instead, after the attempt has ended as a success and its connection is idle again: a stream that ends inside an event, and an answer that is no stream in the middle of one. The next attempt could get that connection, if its upstream has the same address, and take a copy of the first response for its own.

Change: the request excludes its id from the connection in onFailed, through which every failed attempt goes.

Measured: ResentRequestTest, on: "a repeated stream that ends inside an event is not taken for its own continuation" failed, the stream was broken off. The second failure has no test of its own: it needs a stream route with more than two attempts, which PlatformSite lacks.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -100,6 +100,11 @@
         if (connection == null) failUnreachable("no connection in time") else fail(AttemptEnd.Broken("no progress in time"), true)
     }
 
+    /** Keeps further attempts of the request off the connection of this one, on which a copy of its response may still arrive. */
+    fun excludeRequest() {
+        requestId?.let { connection?.exclude(it) }
+    }
+
     fun setReading(enabled: Boolean) {
         connection?.setAutoRead(enabled)
     }
@@ -291,7 +296,6 @@
         failure: BufferedResponse? = null,
     ) {
         finish(failed)
-        requestId?.let { connection?.exclude(it) }
         listener.onFailed(this, end, failure)
     }
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -226,6 +226,7 @@
         end: AttemptEnd,
         failure: BufferedResponse?,
     ) {
+        attempt.excludeRequest()
         if (isFinished) return
         this.attempt = null
         splitter.reset()
