Remember excluded requests by a hash of their id

A connection remembers up to 64 request ids. Callers choose the length of an id, so the memory was bounded in number but not in bytes: 64 ids of 8 KB on 16 connections of an upstream are 8 MB.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.gateway.connection
 
+import io.buckthornlever.core.serving.StableHash
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -34,7 +35,9 @@
     private var interimResponses = 0
     private var isReusable = false
     private var isUsed = false
-    private val excludedRequests = HashSet<String>()
+
+    /** Hashes of request ids, since callers choose the length of an id; a collision only costs a new connection. */
+    private val excludedRequests = HashSet<Long>()
 
     /** True if an earlier request was sent on this connection, so that a late response to it may still arrive. */
     public var isReused: Boolean = false
@@ -83,12 +86,12 @@
      * and its id does not tell it from the response to the same request when that is sent again.
      */
     internal fun exclude(requestId: String) {
-        excludedRequests.add(requestId)
+        excludedRequests.add(StableHash.of(requestId))
         if (excludedRequests.size > MAX_EXCLUDED_REQUESTS) close()
     }
 
     /** True if the request [requestId] may be sent on this connection. */
-    internal fun allows(requestId: String): Boolean = requestId !in excludedRequests
+    internal fun allows(requestId: String): Boolean = StableHash.of(requestId) !in excludedRequests
 
     /** Pauses or resumes reading, as backpressure from a receiver that is slower than the server. */
     public fun setAutoRead(enabled: Boolean) {
