Store the first usage window that may be counted with the lease

Cause: only an instance that saw the restore, or the lease of the era before, knew that earlier windows may be reported from the store only. One that took the lease over from a holder of the new era counted them again, since it looks back three windows.

Change: the lease record carries the first window that may be counted, and whoever reads the record adopts it. An instance also notices the change of era when it reads the lease, before it acquires it. Without a restore the record is as before.

Evidence: the new test in DutyRunnerTest failed before the change ("expected: <[1]> but was: <[1, 4]>").

--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StoredDutyLease.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StoredDutyLease.kt
@@ -9,6 +9,8 @@
  * @property fencing fencing token; increases with each new holder
  * @property token unique value of each write
  * @property ttlMillis time from the write after which an unchanged lease expires, in milliseconds
+ * @property firstCountedWindow index of the first usage window whose counts may be reported unless they are stored; null if there is no
+ *   such limit. Earlier windows may have been reported with counts that the store has lost when it was restored from a copy.
  */
 @Serializable
 public data class StoredDutyLease(
@@ -16,4 +18,5 @@
     val fencing: Long,
     val token: String,
     val ttlMillis: Long,
+    val firstCountedWindow: Long? = null,
 )
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
@@ -51,14 +51,18 @@
     private var gainedAt = Long.MIN_VALUE / 2
     private var supersededFencing = Long.MIN_VALUE
     private var prunedInWindow = Long.MIN_VALUE
-    private var seenFencing: Long? = null
-    private var noticedEra = 0L
-
-    /** Windows before this one may have been reported by a holder whose record of it is lost, with other counts. */
-    private var firstCountedWindow = Long.MIN_VALUE
 
     /** Since this window no other instance can have persisted one, while this instance holds the lease. */
     private var firstHeldWindow = Long.MAX_VALUE
+
+    /** Era of the store for which [firstCountedWindow] accounts; null until the lease has been read or a restore noticed. */
+    private var noticedEra: Long? = null
+
+    /**
+     * Windows before this one may have been reported by a holder whose record of it is lost, with other counts. Stored with the lease
+     * for later holders, which may start long after the restore; null before the first restore.
+     */
+    private var firstCountedWindow: Long? = null
     private val reportedWindows = HashSet<Long>()
 
     /** What this instance has persisted or reported; the store may lose it. */
@@ -112,18 +116,21 @@
     fun onStoreRestored() {
         onEraChanged()
         val heldLease = leaseMachine.permit(state, true, Moment.of(clock)) != null
-        if (usageWindow != null && heldLease) {
-            // Windows that were due while the store was away; nobody has reported them.
-            for (index in firstHeldWindow until firstCountedWindow) {
-                usageLedger.total(index).takeIf { it.counts.isNotEmpty() }?.let { persistedWindows.putIfAbsent(index, it) }
-            }
-        }
+        if (usageWindow != null && heldLease) persistUnreported()
         lostWindows.addAll(persistedWindows.keys)
     }
 
+    /** Adds the windows that were due while the store was away: this instance held the lease, so nobody else has reported them. */
+    private fun persistUnreported() {
+        for (index in firstHeldWindow until (firstCountedWindow ?: return)) {
+            usageLedger.total(index).takeIf { it.counts.isNotEmpty() }?.let { persistedWindows.putIfAbsent(index, it) }
+        }
+    }
+
     private fun onEraChanged() {
         noticedEra = store.era
-        firstCountedWindow = newestSettledWindow(clock.now().toEpochMilli()) + 1
+        val unsettled = newestSettledWindow(clock.now().toEpochMilli()) + 1
+        firstCountedWindow = maxOf(firstCountedWindow ?: unsettled, unsettled)
     }
 
     private fun newestSettledWindow(wallMillis: Long): Long = usageLedger.windowIndex(wallMillis - USAGE_SETTLING_TIME.toMillis()) - 1
@@ -148,9 +155,6 @@
                 reportedWindows.clear()
                 gainedAt = clock.monotonicNanos()
                 firstHeldWindow = usageLedger.windowIndex(clock.now().toEpochMilli())
-                val seenEra = seenFencing?.let(StoreRevision::eraOf)
-                // A process that started after the restore has not noticed it.
-                if (seenEra != null && seenEra < store.era && noticedEra != store.era) onEraChanged()
                 log.write(GatewayEvent.LEASE_GAINED, "fencing" to command.fencing)
             }
             is LeaseCommand.Lost -> log.write(GatewayEvent.LEASE_LOST, "reason" to command.reason)
@@ -160,21 +164,30 @@
     private fun readLease() {
         store.read(StateKind.LEASES, LEASE_NAME) { result ->
             result.onSuccess { found ->
-                val lease = toStoredLease(found)
-                seenFencing = lease?.record?.fencing
-                step(LeaseEvent.ReadDone(ObjectVersion(found.revision), lease))
+                onLeaseRead((found.value as? StateValue.Lease)?.lease)
+                step(LeaseEvent.ReadDone(ObjectVersion(found.revision), toStoredLease(found)))
             }
             result.onFailure { failure ->
                 if (failure != StateFailure.NotFound) return@onFailure step(LeaseEvent.ReadFailed)
-                seenFencing = null
+                onLeaseRead(null)
                 step(LeaseEvent.ReadDone(ObjectVersion(StoreRevision.of(store.era, 0)), null))
             }
         }
     }
 
+    private fun onLeaseRead(lease: StoredDutyLease?) {
+        lease?.firstCountedWindow?.let { firstCountedWindow = maxOf(firstCountedWindow ?: it, it) }
+        // A process that started after a restore learns of it from the lease that the store had before.
+        val before = noticedEra ?: lease?.let { StoreRevision.eraOf(it.fencing) } ?: store.era
+        noticedEra = store.era
+        if (before < store.era) onEraChanged()
+    }
+
     private fun writeLease(command: LeaseCommand.Write) {
         val record = command.record
-        val value = StateValue.Lease(StoredDutyLease(record.holder?.value, record.fencing, record.token, record.ttlMillis))
+        val value = StateValue.Lease(
+            StoredDutyLease(record.holder?.value, record.fencing, record.token, record.ttlMillis, firstCountedWindow),
+        )
         val done = { result: Result<StateObject, StateFailure> ->
             result.onSuccess { step(LeaseEvent.WriteDone(record.token, ObjectVersion(it.revision))) }
             result.onFailure { failure ->
@@ -219,7 +232,7 @@
         val name = index.toString()
         val window = usageLedger.total(index)
         // The window may have ended before this process received any counts from its peers.
-        if (window.counts.isEmpty() || index < firstCountedWindow) return reportStored(name, index)
+        if (window.counts.isEmpty() || firstCountedWindow?.let { index < it } == true) return reportStored(name, index)
         store.create(StateKind.USAGE_WINDOWS, name, StateValue.Usage(window)) { result ->
             result.onSuccess { report(window) }
             result.onFailure { failure ->
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
@@ -120,6 +120,31 @@
         assertEquals(StateValue.Usage(window), store.valueOf(StateKind.USAGE_WINDOWS, window.index.toString()))
     }
 
+    // Guards against two reports of one window with different counts, by the holder before a restore and by a much later one.
+    @Test
+    fun `an instance that started after a restore does not count the windows before it when it takes the lease over`() {
+        store.backUp()
+        ledger.onStarted(ACCOUNT, clock.now().toEpochMilli())
+        val counted = ledger.windowIndex(clock.now().toEpochMilli())
+        clock.advance(WINDOW.plusSeconds(2))
+        tickFor(Duration.ofSeconds(2))
+        assertEquals(listOf(counted), duties.reports.map { it.index })
+        store.restore()
+        val second = DutyRunner("j", clock, store, duties, UsageLedger(WINDOW.toMillis()), WINDOW, Duration.ofSeconds(3), EventLog("j"))
+        second.onStoreRestored()
+        second.tick(true)
+        assertNotNull(second.fencing)
+        val others = UsageLedger(WINDOW.toMillis())
+        others.updatePeer("j", 1, mapOf(counted to mapOf(ACCOUNT to 4L)))
+        val third = DutyRunner("k", clock, store, duties, others, WINDOW, Duration.ofSeconds(3), EventLog("k"))
+        repeat(30) {
+            clock.advance(Duration.ofMillis(200))
+            third.tick(true)
+        }
+        assertNotNull(third.fencing)
+        assertEquals(listOf(1L), duties.reports.filter { it.index == counted }.map { it.counts.getValue(ACCOUNT) })
+    }
+
     private fun tickFor(time: Duration) {
         repeat((time.toMillis() / 200).toInt()) {
             clock.advance(Duration.ofMillis(200))
