Keep an upstream cold that a restored store knows as warm

Cause: a registration from the copy replaced the announcement of a cold phase that the store had lost. All instances then sent a cold upstream the full traffic until it wrote again (FAILBACK).

Change: within the time after a restore in which registrations may be out of date, one can only prolong the cold phase that is known.

Evidence: the new test in UpstreamBalancerTest failed before the change ("Expected value to be true").

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -55,7 +55,7 @@
 
     /**
      * Records that the shared store was restored from a copy. Registrations that follow may be older than what is known: an upstream
-     * that has left or is leaving gets no requests meanwhile.
+     * that has left or is leaving gets no requests meanwhile, and one that is cold stays so.
      */
     public fun onStoreRestored(nanos: Long) {
         restoredNanos = nanos
@@ -76,7 +76,8 @@
         entry.lapsedAt = null
         entry.announcedLeaving = leaving
         if (mayBeOutdated && earlier != null) entry.ejectedUntil = maxOf(entry.ejectedUntil, restoredNanos + RESTORE_TIME.toNanos())
-        entry.coldUntil = if (upstream.coldFor.isZero) Long.MIN_VALUE else nanos + upstream.coldFor.toNanos() + COLD_MARGIN.toNanos()
+        val coldUntil = if (upstream.coldFor.isZero) Long.MIN_VALUE else nanos + upstream.coldFor.toNanos() + COLD_MARGIN.toNanos()
+        entry.coldUntil = if (mayBeOutdated) maxOf(entry.coldUntil, coldUntil) else coldUntil
     }
 
     /** Removes the upstream [id], whose registration is gone. */
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/UpstreamBalancerTest.kt
@@ -6,6 +6,7 @@
 import java.time.Duration
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 
@@ -213,6 +214,16 @@
         assertIs<Placement.Chosen>(balancer.choose(query, millis(200)))
     }
 
+    // Guards against full traffic for a cold upstream whose announcement the store has lost.
+    @Test
+    fun `an upstream that is cold stays so when a restored store knows it as warm`() {
+        register("u1", coldFor = Duration.ofSeconds(4))
+        balancer.onStoreRestored(millis(100))
+        registerAgain("u1", millis(200))
+        assertTrue(balancer.upstreams.single().isCold(millis(3_900)))
+        assertFalse(balancer.upstreams.single().isCold(millis(5_000)))
+    }
+
     @Test
     fun `an upstream that registers again without a restore gets requests at once`() {
         register("u1")
