Keep the holders of accounts whose allocation the store has lost

Cause: after a restore all instances followed the older allocation of the copy. An account that it lacked was allocated anew with generation 0, whose holders grant at once, although the holders so far had granted from the same quota in the same window (QUOTA). The new holders differ if the live instances do, and for 15 s after a change of the lease silent ones count as live.

Change: an account that only the allocation in force has keeps its holders, and the lease holder writes them again. An allocation that cannot be read still leaves no shares.

Evidence: the first test in QuotaAllocationStoreTest failed before the change (the account had no holders any more).

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaAllocator.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaAllocator.kt
@@ -41,6 +41,16 @@
         return if (next == current?.accounts.orEmpty()) null else QuotaHoldings(next)
     }
 
+    /**
+     * Returns the allocation to follow once the store was restored from a copy and has [stored], while [inForce] was followed before.
+     * An account that only the latter has keeps its holders: new ones would grant from its quota at once, in addition to what the
+     * holders so far have granted in the same window.
+     */
+    public fun restored(
+        stored: QuotaHoldings,
+        inForce: QuotaHoldings,
+    ): QuotaHoldings = QuotaHoldings(stored.accounts + (inForce.accounts - stored.accounts.keys))
+
     private fun reassignLostShares(
         shares: List<QuotaShare>,
         live: Set<String>,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -9,7 +9,6 @@
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.serving.InstanceRecord
-import io.buckthornlever.api.serving.QuotaHoldings
 import io.buckthornlever.api.serving.SingletonDuties
 import io.buckthornlever.api.serving.StateFailure
 import io.buckthornlever.api.serving.StateKind
@@ -524,8 +523,7 @@
     ) {
         log.write(GatewayEvent.STATE_UNREADABLE, "kind" to kind, "name" to changed.name, "revision" to changed.revision)
         if (kind == StateKind.UPSTREAMS) balancer.onUnregistered(UpstreamId(changed.name))
-        // This release cannot read the new allocation, which may give this instance's shares to other holders; it holds none from now on.
-        if (kind == StateKind.QUOTA_HOLDINGS) quotaAllocations.update(changed.revision, QuotaHoldings(emptyMap()))
+        if (kind == StateKind.QUOTA_HOLDINGS) quotaAllocations.onUnreadable(changed.revision)
     }
 
     private fun onTable(
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaAllocationStore.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/QuotaAllocationStore.kt
@@ -13,6 +13,7 @@
 import io.buckthornlever.api.serving.StateObject
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.StoreRevision
 import io.buckthornlever.core.serving.LocalQuotaLimiter
 import io.buckthornlever.core.serving.QuotaAllocator
 import java.time.Duration
@@ -38,7 +39,11 @@
     var isKnown = false
         private set
 
+    /** True while the store lacks the allocation in force. */
     private var isLost = false
+
+    /** True while the store has an older allocation than the one in force, since it was restored from a copy. */
+    private var isOutdated = false
     private var isWriting = false
     private var plannedAt = Long.MIN_VALUE / 2
 
@@ -62,6 +67,26 @@
         holdings: QuotaHoldings,
     ) {
         if (revision <= this.revision) return
+        val inForce = localLimiter.holdings.takeIf { StoreRevision.eraOf(revision) > StoreRevision.eraOf(this.revision) }
+        val next = if (inForce == null) holdings else allocator.restored(holdings, inForce)
+        isOutdated = next != holdings
+        follow(revision, next)
+    }
+
+    /**
+     * The store has an allocation at [revision] that this release cannot read. It may give this instance's shares to other holders; the
+     * instance holds none from now on.
+     */
+    fun onUnreadable(revision: Long) {
+        if (revision <= this.revision) return
+        isOutdated = false
+        follow(revision, QuotaHoldings(emptyMap()))
+    }
+
+    private fun follow(
+        revision: Long,
+        holdings: QuotaHoldings,
+    ) {
         this.revision = revision
         isLost = false
         localLimiter.update(holdings, clock.monotonicNanos())
@@ -96,7 +121,7 @@
         // At the first start of a site the other instances are still registering.
         if (settings.firstStart && revision == 0L && now - othersChangedAt < REGISTRATION_TIME.toNanos()) return
         plannedAt = now
-        val next = allocator.next(localLimiter.holdings, accounts, others + record) ?: localLimiter.holdings.takeIf { isLost }
+        val next = allocator.next(localLimiter.holdings, accounts, others + record) ?: localLimiter.holdings.takeIf { isLost || isOutdated }
         next?.let(::write)
     }
 
