Remove lost objects that a relay still lists at each follower

Cause: a relay lists an object that a restored store has lost until the time to write it again has passed. The follower counted it as listed and relied on the relay to pass the removal on. When the relay stopped before that, the next one or the store had no removal after the revision of the follower, and the object stayed for good, for example an evacuation that was taken back.

Change: an object whose revision is of an era before that of the listing counts as missing, so that each follower removes it by itself after the same time.

Evidence: the new test in StateFeedTest failed before the change ("expected: <tombstone c> but was: <null>").

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
@@ -65,7 +65,7 @@
         }
         if (page.more && page.objects.isNotEmpty()) return list(page.objects.last().name)
         // Keeps objects newer than the listing: a relay's listing may be older than what the store has delivered directly.
-        knownRevisions.filter { (name, revision) -> name !in listedNames && revision <= listRevision }.forEach(::removeMissing)
+        knownRevisions.filter { (name, revision) -> isMissing(name, revision) }.forEach(::removeMissing)
         listener.onSynchronised(page.asOfNanos ?: sent, listRevision)
         watch(listRevision)
     }
@@ -144,6 +144,13 @@
             }
         }
 
+    /** True if the store lacked the object at the newest listing. A relay still lists an object that the store has lost for some time. */
+    private fun isMissing(
+        name: String,
+        revision: Long,
+    ): Boolean =
+        revision <= listRevision && (name !in listedNames || StoreRevision.eraOf(revision) < StoreRevision.eraOf(listRevision))
+
     /** Removes the object [name] of [revision], which the newest listing lacks; after [lostGrace] if it may have been lost by a restore. */
     private fun removeMissing(
         name: String,
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
@@ -101,6 +101,20 @@
         assertNull(calls.poll(300, TimeUnit.MILLISECONDS))
     }
 
+    // Guards against an object that stays for good when the relay that listed it stops before it has passed on the removal.
+    @Test
+    fun `an object that a restored store has lost and a relay still lists is removed`() {
+        start(RestoredStore(relayed = listOf("c")), Duration.ofMillis(200))
+        assertEquals(listOf("changed a", "changed b", "changed c"), List(3) { next() })
+        assertEquals("synchronised ${StoreRevision.of(1, 9)}", next())
+        assertEquals("changed a", next())
+        assertEquals("synchronised ${StoreRevision.of(2, 5)}", next())
+        assertEquals("changed b", next())
+        assertEquals("synchronised ${StoreRevision.of(2, 6)}", next())
+        assertEquals("tombstone c", next())
+        assertEquals("deleted c", next())
+    }
+
     private fun follow(vararg changes: StateChange) {
         start(SingleWatchStore(changes.toList()), Duration.ZERO)
         assertEquals("changed a", next())
@@ -239,8 +253,13 @@
         ) = Unit
     }
 
-    /** Has lost `b` and `c` by the first watch; `b` is written again before the second one. */
-    private class RestoredStore : StateStore by SingleWatchStore(emptyList()) {
+    /**
+     * Has lost `b` and `c` by the first watch; `b` is written again before the second one. Like a relay, it still lists the objects
+     * [relayed], with their revisions from before.
+     */
+    private class RestoredStore(
+        private val relayed: List<String> = emptyList(),
+    ) : StateStore by SingleWatchStore(emptyList()) {
         private var watches = 0
 
         override fun list(
@@ -251,7 +270,8 @@
         ) {
             val era = if (watches == 0) 1L else 2L
             val names = if (watches == 0) listOf("a", "b", "c") else listOf("a")
-            val objects = names.mapIndexed { i, name -> StateObject(name, StoreRevision.of(era, i + 1L), null) }
+            val kept = if (watches == 0) emptyList() else relayed.map { StateObject(it, StoreRevision.of(1, 3), null) }
+            val objects = names.mapIndexed { i, name -> StateObject(name, StoreRevision.of(era, i + 1L), null) } + kept
             done(Ok(StatePage(objects, false, StoreRevision.of(era, if (watches == 0) 9 else 5))))
         }
 
