Start the time to write lost objects again anew at a second restore

Cause: the removal scheduled at the first restore was carried out after a second one too, which left less time for the object to be written again; an evacuation could be lifted too early (EVAC).

Change: the removal is dropped if the store was listed in a later era since; that listing schedules its own.

Evidence: the new test in StateFeedTest failed before the change ("expected: <changed b> but was: <tombstone b>").

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
@@ -157,7 +157,12 @@
         revision: Long,
     ) {
         if (lostGrace.isZero || StoreRevision.eraOf(revision) == StoreRevision.eraOf(listRevision)) return remove(name)
-        loop.schedule({ if (knownRevisions[name] == revision) remove(name) }, lostGrace.toMillis(), TimeUnit.MILLISECONDS)
+        val listEra = StoreRevision.eraOf(listRevision)
+        val removal = {
+            // After another restore the time starts anew.
+            if (knownRevisions[name] == revision && StoreRevision.eraOf(listRevision) == listEra) remove(name)
+        }
+        loop.schedule(removal, lostGrace.toMillis(), TimeUnit.MILLISECONDS)
     }
 
     private fun remove(name: String) {
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/StateFeedTest.kt
@@ -115,6 +115,19 @@
         assertEquals("deleted c", next())
     }
 
+    // Guards against a removal that is due from the first restore and leaves no time to write the object again after the second.
+    @Test
+    fun `a second restore gives lost objects the full time to be written again`() {
+        start(TwiceRestoredStore(), Duration.ofMillis(1_000))
+        assertEquals(listOf("changed a", "changed b"), List(2) { next() })
+        assertEquals("synchronised ${StoreRevision.of(1, 9)}", next())
+        assertEquals("changed a", next())
+        assertEquals("synchronised ${StoreRevision.of(2, 5)}", next())
+        assertEquals("changed a", next())
+        assertEquals("synchronised ${StoreRevision.of(3, 5)}", next())
+        assertEquals("changed b", next())
+    }
+
     private fun follow(vararg changes: StateChange) {
         start(SingleWatchStore(changes.toList()), Duration.ZERO)
         assertEquals("changed a", next())
@@ -292,6 +305,47 @@
         }
     }
 
+    /** Loses `b` by the first watch and is restored again during the second one; `b` is written again after the second restore. */
+    private inner class TwiceRestoredStore : StateStore by SingleWatchStore(emptyList()) {
+        private var watches = 0
+
+        override fun list(
+            kind: StateKind,
+            after: String?,
+            stale: Boolean,
+            done: (Result<StatePage, StateFailure>) -> Unit,
+        ) {
+            val era = watches + 1L
+            val names = if (watches == 0) listOf("a", "b") else listOf("a")
+            val objects = names.mapIndexed { i, name -> StateObject(name, StoreRevision.of(era, i + 1L), null) }
+            done(Ok(StatePage(objects, false, StoreRevision.of(era, if (watches == 0) 9 else 5))))
+        }
+
+        override fun watch(
+            kind: StateKind,
+            since: Long,
+            wait: Duration,
+            done: (Result<StateChanges, StateFailure>) -> Unit,
+        ) {
+            when (++watches) {
+                1 -> done(Err(StateFailure.HistoryGone))
+                2 -> later(300) { done(Err(StateFailure.HistoryGone)) }
+                3 -> later(850) {
+                    val written = StateObject("b", StoreRevision.of(3, 6), null)
+                    done(Ok(StateChanges(listOf(StateChange(written, false)), StoreRevision.of(3, 6))))
+                }
+                else -> Unit
+            }
+        }
+
+        private fun later(
+            millis: Long,
+            action: () -> Unit,
+        ) {
+            group.next().schedule(action, millis, TimeUnit.MILLISECONDS)
+        }
+    }
+
     private companion object {
         const val FAILING = "failing"
         const val BROKEN = "broken"
