Read a usage window that is not stored once a second

A holder read each window that it may not count, or has no counts for, on every tick of 200 ms until it left the look-back: some five calls a second and window.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/DutyRunner.kt
@@ -70,6 +70,9 @@
     private val lostWindows = TreeSet<Long>()
     private val pendingWindows = HashSet<Long>()
 
+    /** Monotonic time of the last read of each window that this instance cannot count itself. */
+    private val readAt = HashMap<Long, Long>()
+
     /** Fencing token of the lease while this instance may act on it, null otherwise. */
     val fencing: Long? get() = permit()?.fencing
 
@@ -215,6 +218,7 @@
         prunedInWindow = index
         usageLedger.forgetBefore(index - RETAINED_WINDOWS)
         reportedWindows.removeIf { it < index - RETAINED_WINDOWS }
+        readAt.keys.removeIf { it < index - RETAINED_WINDOWS }
         persistedWindows.headMap(index - RETAINED_WINDOWS).clear()
         lostWindows.headSet(index - RETAINED_WINDOWS).clear()
     }
@@ -255,6 +259,12 @@
         name: String,
         index: Long,
     ) {
+        val now = clock.monotonicNanos()
+        if (now - (readAt[index] ?: Long.MIN_VALUE / 2) < MISSING_WINDOW_INTERVAL.toNanos()) {
+            pendingWindows.remove(index)
+            return
+        }
+        readAt[index] = now
         store.read(StateKind.USAGE_WINDOWS, name) { result ->
             result.onSuccess { found -> (found.value as? StateValue.Usage)?.let { report(it.window) } ?: pendingWindows.remove(index) }
             result.onFailure { pendingWindows.remove(index) }
@@ -297,6 +307,9 @@
         /** Delay before a new holder reports, in which it receives the counts that the other instances sent to its predecessor. */
         val USAGE_GATHERING_TIME: Duration = Duration.ofMillis(1_200)
 
+        /** Interval at which a window is read that is not stored; each call to the store has a cost. */
+        val MISSING_WINDOW_INTERVAL: Duration = Duration.ofSeconds(1)
+
         /** Validity of a peer's announcement that it holds the lease; several times the interval of these announcements. */
         val HELD_ELSEWHERE_TTL: Duration = Duration.ofSeconds(2)
 
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/DutyRunnerTest.kt
@@ -14,6 +14,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 class DutyRunnerTest {
     private val clock = ManualClock()
@@ -145,6 +146,15 @@
         assertEquals(listOf(1L), duties.reports.filter { it.index == counted }.map { it.counts.getValue(ACCOUNT) })
     }
 
+    @Test
+    fun `a window that is not stored is read once a second`() {
+        clock.advance(WINDOW.plusSeconds(2))
+        tickFor(Duration.ofSeconds(2))
+        store.windowReads = 0
+        tickFor(Duration.ofSeconds(2))
+        assertTrue(store.windowReads in 1..LOOKBACK * 3, "${store.windowReads} reads")
+    }
+
     private fun tickFor(time: Duration) {
         repeat((time.toMillis() / 200).toInt()) {
             clock.advance(Duration.ofMillis(200))
@@ -177,5 +187,8 @@
     private companion object {
         val WINDOW: Duration = Duration.ofSeconds(5)
         val ACCOUNT = AccountId("a")
+
+        /** Windows that a holder reports at most, the newest one included. */
+        const val LOOKBACK = 4
     }
 }
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/InMemoryStore.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/InMemoryStore.kt
@@ -22,6 +22,7 @@
     private var copy = emptyMap<Pair<StateKind, String>, StateObject>()
     private var copiedRevision = 0L
     var reads = 0
+    var windowReads = 0
 
     override var era: Long = 0
         private set
@@ -78,6 +79,7 @@
         done: (Result<StateObject, StateFailure>) -> Unit,
     ) {
         if (kind == StateKind.LEASES) reads++
+        if (kind == StateKind.USAGE_WINDOWS) windowReads++
         if (isRefusing) return done(REFUSED)
         done(objects[kind to name]?.let { Ok(it) } ?: Err(StateFailure.NotFound))
     }
