Notice a restore right after the registration

A process that registered before a restore of the store and got the first answer of a feed after it never registered again: the first era that it knew was the new one. It now takes note of the era when the registration succeeds. Found by reading in the review; no test of its own.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -326,6 +326,7 @@
     private fun register() {
         val value = StateValue.Instance(ownRecord)
         store.create(StateKind.INSTANCES, settings.instance, value) { result ->
+            result.onSuccess { restoreDetector.check() }
             result.onFailure { failure ->
                 when (failure) {
                     is StateFailure.Conflict -> store.replace(StateKind.INSTANCES, settings.instance, null, value) { replaced ->
