Send completions and non-repeatable calls on connections of their own

A copy of an earlier refusal was taken for the answer to a call that runs: the caller of a completion got "not-run", and a payment that ran got and kept the refusal as its recorded outcome.

Cause: HttpUpstreamClient matches a response by its position on a pooled connection. OkHttp uses an idle connection again although bytes have arrived on it, keeps what it has read behind the end of a response, and cannot tell a copy that arrives after the next request. The id is checked only if the service returns it, and engines do not. Load reports shared the pool.

Change: a call gets a new connection unless its request permits a reused one, which only repeatable calls to plain services do. Load reports use new connections as well. Cost: one round trip for each completion, non-repeatable call and load report.

--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/connection/UpstreamRequest.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/connection/UpstreamRequest.kt
@@ -10,6 +10,8 @@
  * @property headers end-to-end headers; hop-by-hop headers and credentials are already removed
  * @property timeoutMillis longest time for the whole response, in milliseconds
  * @property progressTimeoutMillis longest time without any byte from the upstream, in milliseconds
+ * @property mayReuseConnection false if the call needs a connection that has carried no other one, because the copy of an earlier
+ * response on a reused connection could be taken for the proof that this call has not run, or for its recorded outcome
  */
 public class UpstreamRequest(
     public val id: RequestId,
@@ -19,4 +21,5 @@
     public val body: ByteArray,
     public val timeoutMillis: Long,
     public val progressTimeoutMillis: Long,
+    public val mayReuseConnection: Boolean = false,
 )
--- a/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
+++ b/buckthornlever-daemon/src/main/kotlin/io/buckthornlever/daemon/request/PlainRelay.kt
@@ -130,6 +130,7 @@
                 body = body,
                 timeoutMillis = maxOf(1, TimeUnit.NANOSECONDS.toMillis(scope.deadlineNanos - clock.monotonicNanos())),
                 progressTimeoutMillis = scope.route.progressTimeoutMillis,
+                mayReuseConnection = scope.route.workClass.idempotent,
             )
         val result =
             attempts.run(upstream, request) { result ->
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
@@ -28,6 +28,9 @@
  *
  * OkHttp's own retries are off: it silently repeats a failed request on another connection,
  * which would execute a non-repeatable request twice.
+ *
+ * HTTP/1.1 matches a response to a request only by its position on the connection, and OkHttp uses an idle connection again even if
+ * bytes have arrived on it. A call therefore gets a connection of its own unless its request permits a reused one.
  */
 public class HttpUpstreamClient : UpstreamClient {
     private val baseClient: OkHttpClient =
@@ -36,10 +39,15 @@
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .connectTimeout(CONNECT_TIMEOUT)
-            .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
+            .connectionPool(SingleUseConnections.pool())
             .eventListener(SendTracker.Listener)
             .build()
-    private val clientsByProgressTimeout = ConcurrentHashMap<Long, OkHttpClient>()
+    private val reusingClient: OkHttpClient =
+        baseClient
+            .newBuilder()
+            .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
+            .build()
+    private val clients = ConcurrentHashMap<ClientKey, OkHttpClient>()
     private val loadClient = baseClient.newBuilder().callTimeout(LOAD_TIMEOUT).build()
 
     override fun call(
@@ -53,7 +61,7 @@
             } catch (e: IllegalArgumentException) {
                 return Err(UpstreamError.NotSent("invalid HTTP request: ${e.message}"))
             }
-        val call = clientFor(request.progressTimeoutMillis).newCall(httpRequest)
+        val call = clientFor(request).newCall(httpRequest)
         call.timeout().timeout(request.timeoutMillis, TimeUnit.MILLISECONDS)
         return try {
             Ok(toResponse(call.execute(), call::cancel))
@@ -76,9 +84,10 @@
         }
     }
 
-    private fun clientFor(progressTimeoutMillis: Long): OkHttpClient =
-        clientsByProgressTimeout.computeIfAbsent(progressTimeoutMillis) {
-            baseClient.newBuilder().readTimeout(Duration.ofMillis(it)).build()
+    private fun clientFor(request: UpstreamRequest): OkHttpClient =
+        clients.computeIfAbsent(ClientKey(request.progressTimeoutMillis, request.mayReuseConnection)) {
+            val client = if (it.reusesConnections) reusingClient else baseClient
+            client.newBuilder().readTimeout(Duration.ofMillis(it.progressTimeoutMillis)).build()
         }
 
     private fun toHttpRequest(
@@ -121,6 +130,11 @@
 
     private fun describe(e: IOException): String = e.message ?: e.javaClass.simpleName
 
+    private data class ClientKey(
+        val progressTimeoutMillis: Long,
+        val reusesConnections: Boolean,
+    )
+
     private companion object {
         val CONNECT_TIMEOUT: Duration = Duration.ofMillis(500)
         val LOAD_TIMEOUT: Duration = Duration.ofMillis(1_000)
--- a/buckthornlever-http/src/test/kotlin/io/buckthornlever/http/connection/HttpUpstreamClientTest.kt
+++ b/buckthornlever-http/src/test/kotlin/io/buckthornlever/http/connection/HttpUpstreamClientTest.kt
@@ -41,10 +41,10 @@
     @Test
     fun `a request that fails on a pooled connection is not retried by the HTTP client`() {
         server.enqueue(MockResponse.Builder().body("ok").build())
-        client.call(upstream, request()).get()!!.use { it.body.readAllBytes() }
+        client.call(upstream, request(mayReuseConnection = true)).get()!!.use { it.body.readAllBytes() }
         server.enqueue(MockResponse.Builder().onResponseStart(SocketEffect.ShutdownConnection).build())
         server.enqueue(MockResponse.Builder().body("second run").build())
-        assertIs<UpstreamError.Broken>(client.call(upstream, request()).getError())
+        assertIs<UpstreamError.Broken>(client.call(upstream, request(mayReuseConnection = true)).getError())
         assertEquals(2, server.requestCount)
     }
 
@@ -60,7 +60,7 @@
         assertIs<UpstreamError.NotSent>(client.call(bad, request()).getError())
     }
 
-    private fun request(): UpstreamRequest =
+    private fun request(mayReuseConnection: Boolean = false): UpstreamRequest =
         UpstreamRequest(
             RequestId("r-1"),
             "POST",
@@ -69,5 +69,6 @@
             "{}".toByteArray(),
             timeoutMillis = 5_000,
             progressTimeoutMillis = 300,
+            mayReuseConnection = mayReuseConnection,
         )
 }
