Reuse connections only to services that identify their responses

The copy of the response to one lookup was given to the caller of another.

Cause: the id of a response is compared with that of its request only if the response has one. A service without ids got its repeatable calls on reused connections, where a copy cannot be told from the answer.

Change: a repeatable call uses a pooled connection only if every response of the upstream so far carried the id of its request. A response without it on such a connection is no answer, and the upstream gets no reused connection from then on. Cost: one round trip a call for services without ids.

--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
@@ -30,7 +30,8 @@
  * which would execute a non-repeatable request twice.
  *
  * HTTP/1.1 matches a response to a request only by its position on the connection, and OkHttp uses an idle connection again even if
- * bytes have arrived on it. A call therefore gets a connection of its own unless its request permits a reused one.
+ * bytes have arrived on it. A call therefore gets a connection of its own unless its request permits a reused one and every response
+ * of the upstream so far carried the id of its request, by which a copy of an earlier response is recognised.
  */
 public class HttpUpstreamClient : UpstreamClient {
     private val baseClient: OkHttpClient =
@@ -47,6 +48,9 @@
             .newBuilder()
             .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
             .build()
+
+    /** For each upstream's URL, whether all responses from there carried the ids of their requests. */
+    private val identifiesResponses = ConcurrentHashMap<String, Boolean>()
     private val clients = ConcurrentHashMap<ClientKey, OkHttpClient>()
     private val loadClient = baseClient.newBuilder().callTimeout(LOAD_TIMEOUT).build()
 
@@ -61,10 +65,17 @@
             } catch (e: IllegalArgumentException) {
                 return Err(UpstreamError.NotSent("invalid HTTP request: ${e.message}"))
             }
-        val call = clientFor(request).newCall(httpRequest)
+        val reusesConnection = request.mayReuseConnection && identifiesResponses[upstream.url] == true
+        val call = clientFor(request, reusesConnection).newCall(httpRequest)
         call.timeout().timeout(request.timeoutMillis, TimeUnit.MILLISECONDS)
         return try {
-            Ok(toResponse(call.execute(), call::cancel))
+            val response = call.execute()
+            val isIdentified = response.header(REQUEST_ID_HEADER) == request.id.value
+            identifiesResponses.merge(upstream.url, isIdentified, Boolean::and)
+            val received = toResponse(response, call::cancel)
+            if (isIdentified || !reusesConnection) return Ok(received)
+            received.close()
+            Err(UpstreamError.Malformed("response without the id of its request on a reused connection"))
         } catch (e: IOException) {
             Err(toError(e, tracker, request))
         }
@@ -84,8 +95,11 @@
         }
     }
 
-    private fun clientFor(request: UpstreamRequest): OkHttpClient =
-        clients.computeIfAbsent(ClientKey(request.progressTimeoutMillis, request.mayReuseConnection)) {
+    private fun clientFor(
+        request: UpstreamRequest,
+        reusesConnection: Boolean,
+    ): OkHttpClient =
+        clients.computeIfAbsent(ClientKey(request.progressTimeoutMillis, reusesConnection)) {
             val client = if (it.reusesConnections) reusingClient else baseClient
             client.newBuilder().readTimeout(Duration.ofMillis(it.progressTimeoutMillis)).build()
         }
@@ -97,7 +111,7 @@
     ): Request {
         val builder = Request.Builder().url(upstream.url + request.path).tag(SendTracker::class.java, tracker)
         request.headers.forEach { builder.addHeader(it.name, it.value) }
-        builder.header("X-Request-Id", request.id.value)
+        builder.header(REQUEST_ID_HEADER, request.id.value)
         val bodyAllowed = request.method != "GET" && request.method != "HEAD"
         builder.method(request.method, if (bodyAllowed) request.body.toRequestBody(null) else null)
         return builder.build()
@@ -138,6 +152,7 @@
     private companion object {
         val CONNECT_TIMEOUT: Duration = Duration.ofMillis(500)
         val LOAD_TIMEOUT: Duration = Duration.ofMillis(1_000)
+        const val REQUEST_ID_HEADER = "X-Request-Id"
         const val MAX_IDLE_CONNECTIONS = 256
 
         // Idle connections are closed early, because a dead connection looks the same as an idle one.
