Keep the HTTP library from sending a request again after a 503

A non-repeatable call that a service answers with 503 and `Retry-After: 0` was sent twice, as were orders to engines and writes to the store.

Cause: retryOnConnectionFailure(false) turns off OkHttp's retries after a broken connection only. It still repeats a request after such a 503, with the same id and on the same connection, where a copy of the 503 is also taken for the answer to the second request.

Change: a network interceptor removes that header, so OkHttp returns the 503. Callers do not get a `Retry-After: 0` of a service any more.

--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpEngineControl.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpEngineControl.kt
@@ -29,7 +29,13 @@
     timeout: Duration = CALL_TIMEOUT,
 ) : EngineControl {
     // A silent retry by OkHttp would give an order twice to an engine that ignores request ids.
-    private val client = OkHttpClient.Builder().callTimeout(timeout).retryOnConnectionFailure(false).build()
+    private val client =
+        OkHttpClient
+            .Builder()
+            .callTimeout(timeout)
+            .retryOnConnectionFailure(false)
+            .addNetworkInterceptor(ImmediateRetryFilter)
+            .build()
 
     override fun order(
         upstream: UpstreamSpec,
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
@@ -42,6 +42,7 @@
             .connectTimeout(CONNECT_TIMEOUT)
             .connectionPool(SingleUseConnections.pool())
             .eventListener(SendTracker.Listener)
+            .addNetworkInterceptor(ImmediateRetryFilter)
             .build()
     private val reusingClient: OkHttpClient =
         baseClient
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpObjectStore.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpObjectStore.kt
@@ -10,6 +10,7 @@
 import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.process.StoreError
 import io.buckthornlever.api.process.StoredObject
+import io.buckthornlever.http.connection.ImmediateRetryFilter
 import io.buckthornlever.http.connection.SendTracker
 import io.buckthornlever.http.connection.boundedString
 import kotlinx.serialization.Serializable
@@ -41,6 +42,7 @@
             .callTimeout(callTimeout)
             .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
             .eventListener(SendTracker.Listener)
+            .addNetworkInterceptor(ImmediateRetryFilter)
             .build()
 
     override fun get(key: ObjectKey): Result<StoredObject, StoreError> =
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/PlatformHttpClient.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/PlatformHttpClient.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.buckthornlever.api.process.PlatformError
+import io.buckthornlever.http.connection.ImmediateRetryFilter
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -21,7 +22,13 @@
     timeout: Duration,
 ) {
     // A silent retry by OkHttp could start an instance twice when the service ignores request ids.
-    private val client = OkHttpClient.Builder().callTimeout(timeout).retryOnConnectionFailure(false).build()
+    private val client =
+        OkHttpClient
+            .Builder()
+            .callTimeout(timeout)
+            .retryOnConnectionFailure(false)
+            .addNetworkInterceptor(ImmediateRetryFilter)
+            .build()
 
     /** Executes [request] and reads a successful response with [read]. */
     fun <T> call(
