Give each operation of the object store a connection of its own

The copy of an earlier answer confirmed a create that had no effect, refused one that had, and returned the record of another key. A non-repeatable call is sent once its record is confirmed, so two submissions of a key could both be sent; a record of another key with the same body is replayed as the outcome.

Cause: answers of the store carry no id and are matched by their position on a pooled connection, which OkHttp uses again although bytes have arrived on it. From the copy on each answer goes to the operation after its own.

Change: the client keeps no idle connection. Cost: one round trip for each operation; a non-repeatable call makes two.

--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpObjectStore.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpObjectStore.kt
@@ -12,11 +12,11 @@
 import io.buckthornlever.api.process.StoredObject
 import io.buckthornlever.http.connection.ImmediateRetryFilter
 import io.buckthornlever.http.connection.SendTracker
+import io.buckthornlever.http.connection.SingleUseConnections
 import io.buckthornlever.http.connection.boundedString
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import okhttp3.ConnectionPool
 import okhttp3.HttpUrl
 import okhttp3.HttpUrl.Companion.toHttpUrl
 import okhttp3.OkHttpClient
@@ -26,9 +26,13 @@
 import okhttp3.Response
 import java.io.IOException
 import java.time.Duration
-import java.util.concurrent.TimeUnit
 
-/** [ObjectStore] over HTTP. [baseUrl] has no trailing slash. */
+/**
+ * [ObjectStore] over HTTP. [baseUrl] has no trailing slash.
+ *
+ * Each operation has a connection of its own. The protocol has no ids, so on a reused connection the copy of an earlier answer could
+ * confirm a create that had no effect, refuse one that had, or return the record of another key.
+ */
 public class HttpObjectStore(
     private val baseUrl: String,
     callTimeout: Duration = DEFAULT_CALL_TIMEOUT,
@@ -40,7 +44,7 @@
             .connectTimeout(CONNECT_TIMEOUT)
             .readTimeout(callTimeout)
             .callTimeout(callTimeout)
-            .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
+            .connectionPool(SingleUseConnections.pool())
             .eventListener(SendTracker.Listener)
             .addNetworkInterceptor(ImmediateRetryFilter)
             .build()
@@ -164,8 +168,6 @@
         val DEFAULT_CALL_TIMEOUT: Duration = Duration.ofSeconds(2)
         val CONNECT_TIMEOUT: Duration = Duration.ofMillis(500)
         val WATCH_MARGIN: Duration = Duration.ofSeconds(2)
-        const val MAX_IDLE_CONNECTIONS = 16
-        const val IDLE_CONNECTION_SECONDS = 15L
         val JSON = Json { ignoreUnknownKeys = true }
     }
 }
