Give each order and each cloud call a connection of its own

The copy of an earlier refusal was taken for the answer to an order or an instance start that is carried out, so the controller would issue it again.

Cause: HttpEngineControl and PlatformHttpClient match answers by their position on a pooled connection. The daemon does not use either class yet.

Change: both clients keep no idle connection. Cost: one round trip for each call, all of which are rare.

--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpEngineControl.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpEngineControl.kt
@@ -28,13 +28,15 @@
 public class HttpEngineControl(
     timeout: Duration = CALL_TIMEOUT,
 ) : EngineControl {
-    // A silent retry by OkHttp would give an order twice to an engine that ignores request ids.
+    // A silent retry by OkHttp would give an order twice to an engine that ignores request ids. On a reused connection the copy of
+    // an earlier refusal could be taken for the answer to an order that is carried out.
     private val client =
         OkHttpClient
             .Builder()
             .callTimeout(timeout)
             .retryOnConnectionFailure(false)
             .addNetworkInterceptor(ImmediateRetryFilter)
+            .connectionPool(SingleUseConnections.pool())
             .build()
 
     override fun order(
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/PlatformHttpClient.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/PlatformHttpClient.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import io.buckthornlever.api.process.PlatformError
 import io.buckthornlever.http.connection.ImmediateRetryFilter
+import io.buckthornlever.http.connection.SingleUseConnections
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -21,13 +22,15 @@
 internal class PlatformHttpClient(
     timeout: Duration,
 ) {
-    // A silent retry by OkHttp could start an instance twice when the service ignores request ids.
+    // A silent retry by OkHttp could start an instance twice when the service ignores request ids. On a reused connection the copy of
+    // an earlier refusal could be taken for the answer to a start that takes effect.
     private val client =
         OkHttpClient
             .Builder()
             .callTimeout(timeout)
             .retryOnConnectionFailure(false)
             .addNetworkInterceptor(ImmediateRetryFilter)
+            .connectionPool(SingleUseConnections.pool())
             .build()
 
     /** Executes [request] and reads a successful response with [read]. */
