Give each operator request a connection of its own

The operator was told that a change was refused, although the daemon had accepted it: `buckthornleverctl` reads a table and then replaces it on the same connection, where a copy of the first answer is taken for the second.

Change: the client keeps no idle connection. Cost: one round trip for each request of a command.

--- a/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/connection/OperatorClient.kt
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/connection/OperatorClient.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.cli.process.CommandFailure
 import io.buckthornlever.cli.process.ExitCode
+import io.buckthornlever.http.connection.SingleUseConnections
 import io.buckthornlever.http.connection.boundedString
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -14,7 +15,14 @@
     private val baseUrl: String,
     private val token: String,
 ) {
-    private val client = OkHttpClient.Builder().callTimeout(CALL_TIMEOUT).retryOnConnectionFailure(false).build()
+    // On a reused connection the copy of an earlier refusal could be taken for the answer to a change that is accepted.
+    private val client =
+        OkHttpClient
+            .Builder()
+            .callTimeout(CALL_TIMEOUT)
+            .retryOnConnectionFailure(false)
+            .connectionPool(SingleUseConnections.pool())
+            .build()
 
     fun get(path: String): Response = send(Request.Builder().url(baseUrl + path).get())
 
