--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/InstanceRecord.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/InstanceRecord.kt
@@ -9,6 +9,7 @@
  * @property peerPort port of the protocol between entry instances
  * @property domain failure domain in which it runs; null when the record was written by a release without this field
  * @property linkMegabits bandwidth of its network link in megabits per second; 0 when unknown
+ * @property protocol version of the messages that it exchanges with its peers; 0 when its release does not state one
  */
 @Serializable
 public data class InstanceRecord(
@@ -17,4 +18,5 @@
     val peerPort: Int,
     val domain: FailureDomain? = null,
     val linkMegabits: Double = 0.0,
+    val protocol: Int = 0,
 )
--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StoredDutyLease.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/StoredDutyLease.kt
@@ -11,6 +11,7 @@
  * @property ttlMillis time from the write after which an unchanged lease expires, in milliseconds
  * @property firstCountedWindow index of the first usage window whose counts may be reported unless they are stored; null if there is no
  *   such limit. Earlier windows may have been reported with counts that the store has lost when it was restored from a copy.
+ * @property reportedThrough index of the newest usage window that was reported together with all earlier ones; null if not known
  */
 @Serializable
 public data class StoredDutyLease(
@@ -19,4 +20,5 @@
     val token: String,
     val ttlMillis: Long,
     val firstCountedWindow: Long? = null,
+    val reportedThrough: Long? = null,
 )
--- a/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
+++ b/buckthornlever-bench/src/main/kotlin/io/buckthornlever/bench/process/ExperimentRegistry.kt
@@ -12,6 +12,7 @@
 import io.buckthornlever.bench.request.OverloadExperiment
 import io.buckthornlever.bench.request.RoutingDecisionExperiment
 import io.buckthornlever.bench.request.StreamExperiment
+import io.buckthornlever.bench.request.UpstreamChoiceExperiment
 import io.buckthornlever.bench.version.VersionMoveExperiment
 
 /** All experiments in the order in which `list` prints them. */
@@ -36,6 +37,7 @@
             CapacityExperiment(),
             ColdStartExperiment(),
             RoutingDecisionExperiment(),
+            UpstreamChoiceExperiment(),
         )
 
     /** The experiment called [name], or null. */
--- a/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/Main.kt
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/Main.kt
@@ -1,7 +1,9 @@
 package io.buckthornlever.cli
 
+import io.buckthornlever.cli.process.CheckCommand
 import io.buckthornlever.cli.process.DomainCommand
 import io.buckthornlever.cli.process.DumpCommand
+import io.buckthornlever.cli.process.ExplainCommand
 import io.buckthornlever.cli.process.StatusCommand
 import io.buckthornlever.cli.process.TableCommand
 import io.buckthornlever.cli.process.WatchCommand
@@ -16,9 +18,11 @@
     parser.subcommands(
         TableCommand("routes"),
         TableCommand("pools"),
+        CheckCommand(),
         DomainCommand(),
         StatusCommand(),
         DumpCommand(),
+        ExplainCommand(),
         WatchCommand(),
     )
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
--- a/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/connection/OperatorClient.kt
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/connection/OperatorClient.kt
@@ -2,9 +2,9 @@
 
 import io.buckthornlever.cli.process.CommandFailure
 import io.buckthornlever.cli.process.ExitCode
+import io.buckthornlever.http.connection.HttpClients
 import io.buckthornlever.http.connection.SingleUseConnections
 import io.buckthornlever.http.connection.boundedString
-import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import java.io.IOException
@@ -17,8 +17,8 @@
 ) {
     // On a reused connection the copy of an earlier refusal could be taken for the answer to a change that is accepted.
     private val client =
-        OkHttpClient
-            .Builder()
+        HttpClients
+            .builder()
             .callTimeout(CALL_TIMEOUT)
             .retryOnConnectionFailure(false)
             .connectionPool(SingleUseConnections.pool())
--- a/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/process/OperatorCommand.kt
+++ b/buckthornlever-cli/src/main/kotlin/io/buckthornlever/cli/process/OperatorCommand.kt
@@ -47,7 +47,7 @@
 
     /** Returns one client for each daemon of `--server` or BUCKTHORNLEVER_SERVER. */
     protected fun clients(): List<OperatorClient> {
-        val urls = servers.ifEmpty { System.getenv("BUCKTHORNLEVER_SERVER")?.split(",").orEmpty() }.map { it.trim().trimEnd('/') }
+        val urls = urls()
         if (urls.isEmpty()) throw CommandFailure(ExitCode.USAGE, "give --server URL or set BUCKTHORNLEVER_SERVER")
         val path =
             tokenFile ?: System.getenv("BUCKTHORNLEVER_TOKEN_FILE")
@@ -56,6 +56,12 @@
         return urls.map { OperatorClient(it, token) }
     }
 
+    /** True if daemons are named by `--server` or BUCKTHORNLEVER_SERVER. */
+    protected fun hasServers(): Boolean = urls().isNotEmpty()
+
+    private fun urls(): List<String> =
+        servers.ifEmpty { System.getenv("BUCKTHORNLEVER_SERVER")?.split(",").orEmpty() }.map { it.trim().trimEnd('/') }
+
     /** Runs [action] on the daemons in order and returns the result of the first one that is reachable. */
     protected fun <T> onFirstReachable(action: (OperatorClient) -> T): T {
         val all = clients()
--- a/buckthornlever-cli/src/test/kotlin/io/buckthornlever/cli/process/OperatorClientTest.kt
+++ b/buckthornlever-cli/src/test/kotlin/io/buckthornlever/cli/process/OperatorClientTest.kt
@@ -61,6 +61,14 @@
         assertEquals(listOf(FailureDomain("zone-a")), daemon.effectiveConfiguration.pools.domainsOut)
     }
 
+    @Test
+    fun `the tables in force are read from a daemon`() {
+        val tables = ConfigurationTables.fetch { client.get("/admin/config/$it").bodyOrFail() }
+        assertEquals(listOf(PoolName("p")), tables.pools?.pools?.map { it.name })
+        assertEquals(RouteTable(), tables.routes)
+        assertEquals(emptyList(), tables.accounts?.accounts)
+    }
+
     @Test
     fun `an instance that lags is named in the failure`() {
         val failure = assertFailsWith<CommandFailure> { PropagationWaiter(listOf(client), "pools", Long.MAX_VALUE).await(0) }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/CapacityPlan.kt
@@ -12,7 +12,10 @@
  * platform may have no reclaimable upstreams in any failure domain for some time. On-demand upstreams then replace the missing
  * ones and keep the service above its degraded minimum should one more failure domain be reclaimed. Some on-demand upstreams always
  * run, since all reclaimable ones may be taken away while no orders can be placed. Where the platform offers no reclaimable
- * upstreams, on-demand ones carry the whole load. Not thread-safe.
+ * upstreams, on-demand ones carry the whole load.
+ *
+ * Where [engineDemand] is set, it decides on the number, see [EngineNeed], and few upstreams are on-demand if the reclaimable ones
+ * are spread over several failure domains. What runs is then kept until the demand of all instances is known. Not thread-safe.
  */
 public class CapacityPlan(
     private val service: String,
@@ -25,6 +28,12 @@
     private var ordered: OrderedVersion? = null
     private var orderedSince = Long.MIN_VALUE
     private val warmedUpDomains = HashSet<FailureDomain>()
+    private val engineNeed = EngineNeed()
+    private var keepsRunningUntil: Long? = null
+    private var lastTotal = 0
+
+    /** What decides on the number of upstreams instead of the prompt tokens requested; null where it is not known. */
+    public var engineDemand: EngineDemand? = null
 
     /** Records that the platform had no reclaimable upstreams available. */
     public fun onReclaimableRefused(nanos: Long) {
@@ -108,13 +117,59 @@
     ): List<UpstreamOrder> {
         if (present.isEmpty() || domains.isEmpty()) return emptyList()
         if (nanos < upstreams.filter { it.upstream.service == service }.minOf { it.firstSeenNanos } + REGISTRATION_NANOS) return emptyList()
-        val needed = neededUpstreams(present.size, tokensPerSecond, nanos)
         val open = domains.filter { it !in evacuated }.ifEmpty { domains }
-        if (limits.reclaimablePrice == null) return onDemandOnlyOrders(limits, domains, open, needed, present)
+        val demand = engineDemand
+        val needed =
+            if (demand == null) {
+                neededUpstreams(present.size, tokensPerSecond, nanos)
+            } else {
+                engineNeed.update(demand, covered(present, open), present.size >= lastTotal * ARRIVED_SHARE, nanos)
+            }
         val byDomain = domains.associateWith { domain -> DomainUpstreams(present.filter { it.upstream.domain == domain }, nanos) }
-        return mixedOrders(limits, byDomain, open, needed, nanos)
+        val planned =
+            if (limits.reclaimablePrice == null) {
+                onDemandOnlyOrders(limits, domains, open, needed, present)
+            } else {
+                mixedOrders(limits, byDomain, open, needed, onDemandFraction(open), nanos)
+            }
+        val keepsRunning = demand != null && keepsRunning(demand, nanos)
+        val orders = if (keepsRunning) planned.map { it.atLeastRunning(byDomain, limits) } else planned
+        lastTotal = orders.sumOf { it.count }
+        return orders
+    }
+
+    /** Need for which [present] would be ordered. */
+    private fun covered(
+        present: List<UpstreamEntry>,
+        open: List<FailureDomain>,
+    ): Double {
+        val reclaimable = present.count { it.upstream.reclaimable }
+        return present.size - reclaimable + reclaimable * maxOf(1.0, open.size - 1.0) / maxOf(1, open.size)
+    }
+
+    /** True for some time after the first plan, which may not rest on all of the demand yet, and while some demand is not known. */
+    private fun keepsRunning(
+        demand: EngineDemand,
+        nanos: Long,
+    ): Boolean {
+        val until = keepsRunningUntil ?: (nanos + GATHERING_NANOS).also { keepsRunningUntil = it }
+        return nanos < until || !demand.isComplete
+    }
+
+    private fun UpstreamOrder.atLeastRunning(
+        byDomain: Map<FailureDomain, DomainUpstreams>,
+        limits: ScalingLimits,
+    ): UpstreamOrder {
+        val here = byDomain.getValue(domain)
+        val running = if (reclaimable) here.reclaimable else here.onDemand
+        val room = if (reclaimable) limits.maximum - here.onDemand else limits.maximum
+        return copy(count = maxOf(minOf(count, room), minOf(running, limits.maximum)))
     }
 
+    /** A failure domain that loses its reclaimable upstreams is replaced by those of the others, unless there are none. */
+    private fun onDemandFraction(open: List<FailureDomain>): Double =
+        if (engineDemand != null && open.size > 1) SPREAD_ON_DEMAND_FRACTION else ON_DEMAND_FRACTION
+
     private fun onDemandOnlyOrders(
         limits: ScalingLimits,
         domains: List<FailureDomain>,
@@ -134,10 +189,11 @@
         byDomain: Map<FailureDomain, DomainUpstreams>,
         open: List<FailureDomain>,
         needed: Int,
+        onDemandFraction: Double,
         nanos: Long,
     ): List<UpstreamOrder> {
         val remainingDomains = maxOf(1, open.size - 1)
-        val permanent = ceil(needed * ON_DEMAND_FRACTION).toInt()
+        val permanent = ceil(needed * onDemandFraction).toInt()
         val reclaimable = ceil((needed - permanent).toDouble() / remainingDomains).toInt().coerceIn(1, maxOf(1, limits.maximum))
         val extra = updateExtraOnDemand(needed, open.map { byDomain.getValue(it) }, nanos)
         val shares = distribute(maxOf(permanent, extra), open.sortedBy { limits.domainPrices[it] ?: 1.0 })
@@ -231,6 +287,9 @@
         /** Fraction of the needed upstreams that is always on-demand; it can serve most requests, with higher latency. */
         const val ON_DEMAND_FRACTION = 1.0 / 3
 
+        /** Likewise where several failure domains have reclaimable upstreams; covers the order of on-demand ones should two lose them. */
+        const val SPREAD_ON_DEMAND_FRACTION = 0.1
+
         /** Fraction of the needed upstreams that still serves the requests, with higher latency. */
         const val DEGRADED_FRACTION = 0.6
 
@@ -240,6 +299,12 @@
         /** Time for which extra on-demand upstreams are kept once nothing is missing: the start and cold phase of a reclaimable one. */
         const val EXTRA_ON_DEMAND_NANOS = 7_000_000_000L
 
+        /** An ordered upstream that never appears must not keep the wait from counting. */
+        const val ARRIVED_SHARE = 0.9
+
+        /** Time in which a new lease holder hears the demand of all instances: their messages and one window of the demand. */
+        const val GATHERING_NANOS = 8_000_000_000L
+
         /** Time for the other upstreams to register after the first one was seen. */
         const val REGISTRATION_NANOS = 2_500_000_000L
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PlacementQuery.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/PlacementQuery.kt
@@ -14,6 +14,8 @@
  * @property requiredVersion version whose upstreams alone may run it; null if all versions may
  * @property excludedVersion version whose upstreams must not run it; null if all versions may
  * @property tieBreak hash of the request; spreads requests for which several upstreams are equally good
+ * @property expectedOutputTokens output tokens that the caller expects or allows; 0 if it says neither
+ * @property firstOutputBy monotonic time in nanoseconds after which the first output is late; null if there is none
  */
 public data class PlacementQuery(
     val service: String,
@@ -24,6 +26,8 @@
     val tieBreak: Long = 0,
     val requiredVersion: VersionLabel? = null,
     val excludedVersion: VersionLabel? = null,
+    val expectedOutputTokens: Int = 0,
+    val firstOutputBy: Long? = null,
 ) {
     /** True if upstreams of [version] may run the request. */
     internal fun allows(version: VersionLabel): Boolean =
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaBounds.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/QuotaBounds.kt
@@ -21,10 +21,19 @@
         return nominal + USED_TOLERANCE_FRACTION * (nominal * overshoot + slack)
     }
 
-    private companion object {
+    /** Time after which a charge no longer counts, wherever it was made: a request may run as long after the charge as credit is valid. */
+    public val retention: Duration get() = window + CREDIT_VALIDITY
+
+    public companion object {
+        /**
+         * Time after which unspent credit of another instance ends. Longer than a slow machine takes to answer; each unit that is charged
+         * to another instance counts this much longer than the window, 5% at a window of 8 s.
+         */
+        public val CREDIT_VALIDITY: Duration = Duration.ofMillis(400)
+
         /** Fraction of the tolerated excess that is granted; the rest covers clocks that run at different rates. */
-        const val USED_TOLERANCE_FRACTION = 0.9
+        private const val USED_TOLERANCE_FRACTION = 0.9
 
-        const val MILLIS_PER_SECOND = 1_000.0
+        private const val MILLIS_PER_SECOND = 1_000.0
     }
 }
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayLog.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayLog.kt
@@ -24,10 +24,13 @@
     /** The last change of each object that changed after this revision is in [history]. */
     private var historyStart = 0L
     private var isInitialised = false
-    private var revision = 0L
     private var confirmedAt = NEVER
     private var pausedAt = NEVER
 
+    /** Revision up to which all changes are known; 0 before the first. */
+    public var revision: Long = 0L
+        private set
+
     /** Records a new or changed object. */
     public fun onChanged(item: StateObject) {
         objects[item.name] = item
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SlidingWindowSum.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/SlidingWindowSum.kt
@@ -47,6 +47,23 @@
         return (amounts.size - 1 downTo 0).map { amounts[index(newestSlot - it)] }
     }
 
+    /** Amounts that are in the window at [nanos], each with the time at which it leaves, earliest first. */
+    public fun leaving(nanos: Long): List<LeavingAmount> {
+        advance(nanos)
+        return (amounts.size - 1 downTo 0)
+            .filter { amounts[index(newestSlot - it)] > 0 }
+            .map { LeavingAmount(amounts[index(newestSlot - it)], (newestSlot - it + amounts.size) * slotNanos) }
+    }
+
+    /** Sum of the slots that have begun after [sinceNanos], of the window that ends at [nanos]. */
+    public fun sumSince(
+        sinceNanos: Long,
+        nanos: Long,
+    ): Double {
+        advance(nanos)
+        return (0 until amounts.size).filter { (newestSlot - it) * slotNanos > sinceNanos }.sumOf { amounts[index(newestSlot - it)] }
+    }
+
     /** Adds amounts that [slotAmounts] returned [ageNanos] before [nanos]; those that have left the window are dropped. */
     public fun restore(
         slots: List<Double>,
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -12,22 +12,26 @@
 /**
  * Balances requests over the upstreams and tracks their registrations, cold phases, failures and load. Not thread-safe.
  *
- * A request goes to the upstream with the lowest estimated wait, which depends on the prompt tokens that the upstream has to read
- * first, its load and failure rate, and the latency between failure domains. Rendezvous hashing assigns the shared part of a prompt
- * to one upstream, which is assumed to have that part cached; all instances thus send it there without communicating.
+ * A request goes to the upstream with the shortest expected time to its first output, see [PlacementChooser]. Rendezvous hashing assigns
+ * the shared part of a prompt to one upstream, which is assumed to have that part cached; all instances thus send it there without
+ * communicating.
  */
 public class UpstreamBalancer(
     self: InstanceId,
-    private val domain: FailureDomain,
+    domain: FailureDomain,
     private val clock: Clock,
+    private val options: BalancerOptions = BalancerOptions(),
 ) {
     private val entries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val formerEntries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val departed = LinkedHashMap<UpstreamId, DiscoveredUpstream>()
     private var restoredNanos = Long.MIN_VALUE / 2
     private val coldLimiter = ColdRateLimiter(self, clock.monotonicNanos())
-    private val requestTimes = RequestTimes()
+    private val estimator = ExpectedTimeEstimator()
+    private val index = UpstreamIndex({ entries.values }, ::isOpen)
+    private val chooser = PlacementChooser(domain, options, estimator, StableHash.of(self.value), ::obstacle)
     private val statedRateShares = StatedRateShares(self)
+    private val checkBudget = CheckBudget()
     private var table: ServingTable? = null
 
     /** All known upstreams. */
@@ -51,6 +55,7 @@
     /** Sets the failure domains whose upstreams get no requests. */
     public fun updateEvacuated(domains: Set<FailureDomain>) {
         evacuated = domains
+        index.onChanged()
     }
 
     /**
@@ -68,11 +73,13 @@
     ) {
         val known = entries[upstream.id]?.takeUnless { isDifferentProcess(it.upstream, upstream) }
         val entry = known ?: formerEntry(upstream) ?: UpstreamEntry(upstream, nanos)
-        entries[upstream.id] = entry
+        if (entries.put(upstream.id, entry) !== entry) index.onChanged()
         val earlier = departed.remove(upstream.id)?.takeUnless { isDifferentProcess(it, upstream) }
         val mayBeOutdated = nanos - restoredNanos <= RESTORE_TIME.toNanos()
         val leaving = upstream.leaving || (mayBeOutdated && (entry.announcedLeaving || earlier?.leaving == true))
-        entry.upstream = upstream.copy(leaving = leaving)
+        val registration = upstream.copy(leaving = leaving)
+        if (registration.copy(coldFor = entry.upstream.coldFor) != entry.upstream) index.onChanged()
+        entry.upstream = registration
         entry.lapsedAt = null
         entry.announcedLeaving = leaving
         if (mayBeOutdated && earlier != null) entry.ejectedUntil = maxOf(entry.ejectedUntil, restoredNanos + RESTORE_TIME.toNanos())
@@ -85,6 +92,7 @@
         entries.remove(id)?.let {
             rememberEntry(it)
             rememberDeparted(it.upstream.copy(leaving = it.announcedLeaving))
+            index.onChanged()
         }
         coldLimiter.remove(id)
         statedRateShares.remove(id)
@@ -128,7 +136,7 @@
     public fun onLeavingStated(
         entry: UpstreamEntry,
         nanos: Long,
-    ): Boolean = entry.statements.onLeaving(nanos)
+    ): Boolean = entry.statements.onLeaving(nanos).also { if (it) index.onChanged() }
 
     /**
      * Records the [pause] that [entry] asks for with a response, and returns how long it gets no requests; null for a response that
@@ -147,7 +155,7 @@
     /** Slots of the upstreams of [service] that get requests, by version. */
     public fun slotsByVersion(service: String): Map<VersionLabel, Int> =
         entries.values
-            .filter { it.upstream.service == service && !it.isLeaving && it.upstream.domain !in evacuated }
+            .filter { it.upstream.service == service && isOpen(it) }
             .groupingBy { it.upstream.version }
             .fold(0) { sum, entry -> sum + entry.upstream.slots }
 
@@ -156,38 +164,61 @@
         query: PlacementQuery,
         nanos: Long,
     ): Placement {
-        var best: UpstreamEntry? = null
-        var bestCost = Double.MAX_VALUE
-        var busy = false
-        val affinity = affinityUpstream(query)
-        val median = medianFailureRate(query.service, nanos)
-        for (entry in entries.values) {
-            if (!isEligible(entry, query) || entry.upstream.id in query.tried) continue
-            if (obstacle(entry, nanos) != null) {
-                busy = busy || !entry.statements.isPaused(nanos)
-                continue
-            }
-            val cost = cost(entry, query, entry === affinity, median, nanos)
-            if (cost < bestCost) {
-                best = entry
-                bestCost = cost
-            }
-        }
-        return if (best != null) {
-            Placement.Chosen(best)
-        } else if (busy) {
-            Placement.Busy
-        } else {
-            pausedOrNone(query, nanos)
+        val best = chooser.choose(index.group(query), query, nanos)
+        return when {
+            best != null -> Placement.Chosen(best)
+            chooser.wasBusy -> Placement.Busy
+            else -> pausedOrNone(query, nanos)
         }
     }
 
+    /**
+     * Plans the checks before the stream of [query] is placed; null if they would cost more than they help: its service states no
+     * slowdown, or there is no choice, or the best candidate is known well enough, or this instance has made its share of checks.
+     */
+    public fun planCheck(
+        query: PlacementQuery,
+        nanos: Long,
+    ): LoadCheck? {
+        if (!options.checksLoads || query.promptTokens <= 0 || !estimator.figures(query.service).statesSlowdown(nanos)) return null
+        if (!checkBudget.permits(MIN_CHECKS)) return null
+        val group = index.group(query)
+        val candidates = chooser.candidates(group, query, checkCount(query), nanos)
+        if (candidates.size < MIN_CHECKS) return null
+        val best = candidates.first()
+        val tokens = maxOf(1, query.promptTokens - chooser.heldTokens(group, query, best, nanos))
+        if (estimator.uncertainMillis(best, tokens, nanos) < MIN_UNCERTAIN_MILLIS * checkBudget.scarcity) return null
+        val asked = candidates.filterNot { estimator.figures(query.service).isSlowdownNew(it, nanos) }
+        if (asked.isEmpty() || !checkBudget.take(asked.size)) return null
+        return LoadCheck(candidates, nanos, asked)
+    }
+
+    /** Chooses among the candidates of [check] by their new figures, or among others if none of them can take the request any more. */
+    public fun chooseChecked(
+        check: LoadCheck,
+        query: PlacementQuery,
+        nanos: Long,
+    ): Placement {
+        val (known, unknown) = check.candidates.filter(::takesRequests).partition(check::isKnown)
+        val group = index.group(query)
+        val best = chooser.chooseAmong(known, group, query, nanos) ?: chooser.chooseAmong(unknown, group, query, nanos)
+        return best?.let(Placement::Chosen) ?: choose(query, nanos)
+    }
+
+    /** False for an entry whose upstream has left, is leaving or was replaced by another process meanwhile. */
+    private fun takesRequests(entry: UpstreamEntry): Boolean = entries[entry.upstream.id] === entry && isOpen(entry)
+
+    private fun isOpen(entry: UpstreamEntry): Boolean = !entry.isLeaving && entry.upstream.domain !in evacuated
+
+    private fun checkCount(query: PlacementQuery): Int =
+        (MIN_CHECKS + query.promptTokens / TOKENS_PER_CHECK).coerceAtMost(MAX_CHECKS)
+
     /** Explains why no upstream can take the request of [query]. */
     public fun shortage(
         query: PlacementQuery,
         nanos: Long,
     ): PlacementShortage {
-        val (tried, untried) = entries.values.filter { isEligible(it, query) }.partition { it.upstream.id in query.tried }
+        val (tried, untried) = index.group(query).entries.partition { it.upstream.id in query.tried }
         val obstructed = untried.mapNotNull { entry -> obstacle(entry, nanos)?.let { entry to it } }
         val reports = obstructed.mapNotNull { (entry, obstacle) -> entry.loadReportedNanos.takeIf { obstacle == PlacementObstacle.FULL } }
         return PlacementShortage(
@@ -198,26 +229,58 @@
         )
     }
 
+    /** Times after which the request of [query] can be expected to have output if it is sent to [entry] now. */
+    public fun expectedTimes(
+        entry: UpstreamEntry,
+        query: PlacementQuery,
+        nanos: Long,
+    ): ExpectedTimes = estimator.expectedTimes(entry, query, chooser.heldTokens(index.group(query), query, entry, nanos), nanos)
+
+    /** What is known of [entry] when the request of [query] is sent there at [nanos]. */
+    public fun basis(
+        entry: UpstreamEntry,
+        query: PlacementQuery,
+        nanos: Long,
+    ): PlacementBasis {
+        val held = if (options.usesExpectedTimes) chooser.heldTokens(index.group(query), query, entry, nanos) else 0
+        return estimator.basis(entry, query, held, nanos)
+    }
+
+    /** Load of the upstreams of [service] that take requests; cheap enough to be asked for with each request. */
+    public fun serviceLoad(
+        service: String,
+        nanos: Long,
+    ): ServiceLoad = estimator.serviceLoad(service, nanos) { index.group(PlacementQuery(service)).entries }
+
     private fun pausedOrNone(
         query: PlacementQuery,
         nanos: Long,
     ): Placement {
-        val paused = entries.values.filter { isEligible(it, query) && it.statements.isPaused(nanos) }
+        val paused = index.group(query).entries.filter { it.statements.isPaused(nanos) }
         val returnNanos = paused.mapNotNull { it.statements.pausedUntilNanos }.minOrNull() ?: return Placement.NoUpstream
         val untried = paused.filter { it.upstream.id !in query.tried }
         return Placement.Paused(returnNanos, untried.mapNotNull { it.statements.pausedUntilNanos }.minOrNull())
     }
 
-    /** Records that a request with [tokens] prompt tokens is sent to [entry]. */
+    /** Prompt tokens per second that an upstream of [service] reads, as learned from its responses; null as long as none is learned. */
+    public fun tokensPerSecond(service: String): Double? = estimator.tokensPerSecond(service)
+
+    /** Share of the prompt tokens for [service] that its upstreams have to read, since they do not hold them from earlier requests. */
+    public fun readShare(service: String): Double = estimator.readShare(service)
+
+    /** Records that a request with [promptTokens] is sent to [entry], which has to read [tokens] of them. */
     public fun onRequestSent(
         entry: UpstreamEntry,
         tokens: Int,
         nanos: Long,
+        promptTokens: Int = tokens,
     ) {
-        entry.inFlight++
+        entry.onSent(nanos)
         entry.pendingTokens += tokens
-        entry.lastSentNanos = nanos
-        entry.statements.onSent()
+        if (tokens > 0) {
+            estimator.onPromptSent(entry.upstream.service, tokens, promptTokens)
+            checkBudget.onStreamPlaced()
+        }
         if (entry.isCold(nanos)) coldLimiter.onSent(entry.upstream.id, coldRate(entry), nanos)
     }
 
@@ -240,12 +303,34 @@
         time: Duration? = null,
     ) {
         entry.inFlight = maxOf(0, entry.inFlight - 1)
-        if (time != null) requestTimes.onFinished(entry.upstream.service, time)
+        if (time != null) estimator.onFinished(entry.upstream.service, time)
         if (failed == null) return
         entry.onOutcome(failed, nanos)
         if (!failed) entry.consecutiveEjections = 0
     }
 
+    /**
+     * Records that the first output of the request of [query], sent to [entry] on [basis], came after [time]. It shows the pace of the
+     * upstream, and that the upstream holds the shared part of the prompt.
+     */
+    public fun onFirstOutput(
+        entry: UpstreamEntry,
+        query: PlacementQuery,
+        basis: PlacementBasis,
+        time: Duration,
+        nanos: Long,
+    ) {
+        query.sharedParts.lastOrNull()?.let { entry.onPartRead(it, nanos) }
+        if (basis.tokensToRead > 0) estimator.onFirstOutput(entry, basis, time, nanos)
+    }
+
+    /** Records that a stream at [entry] with [expectedTokens] expected output tokens took [time] from its first to its last event. */
+    public fun onOutputFinished(
+        entry: UpstreamEntry,
+        expectedTokens: Int,
+        time: Duration,
+    ): Unit = estimator.onOutputFinished(entry.upstream.service, expectedTokens, time)
+
     /** Ejects [entry], which could not be reached, for a time that doubles with each consecutive ejection up to a limit. */
     public fun onUnreachable(
         entry: UpstreamEntry,
@@ -267,15 +352,46 @@
         entry.ejectedUntil = nanos + REPLACED_EJECTION_TIME.toNanos()
     }
 
-    /** Records how many requests of all instances [entry] reports as [running] and [waiting]. */
+    /**
+     * Records that [entry] states to run [running] requests of all instances, that [waiting] more wait there, and its [slots] and
+     * [slowdown] if it names them. Figures that cannot be right are ignored.
+     */
     public fun onLoadReported(
         entry: UpstreamEntry,
         running: Int,
         waiting: Int,
         nanos: Long,
+        slots: Int? = null,
+        slowdown: Double? = null,
     ) {
-        entry.loadReportedNanos = nanos
-        entry.loadOfOtherInstances = maxOf(0, running + waiting - entry.inFlight)
+        updateFigure(entry, LoadFigure.of(running, waiting, slots, slowdown, nanos) ?: return, isOwn = true)
+    }
+
+    /** Records the [load] that [entry] states. */
+    public fun onLoadReported(
+        entry: UpstreamEntry,
+        load: StatedLoad,
+        nanos: Long,
+    ): Unit = onLoadReported(entry, load.running, load.waiting, nanos, load.slots, load.slowdown)
+
+    /** Records [figure], which another instance has passed on, for the upstream with the key [life], unless a newer one is known. */
+    internal fun onLoadShared(
+        life: Int,
+        figure: LoadFigure,
+    ) {
+        val entry = index.byLife(life) ?: return
+        if (figure.nanos <= (entry.figure?.nanos ?: Long.MIN_VALUE)) return
+        updateFigure(entry, figure.copy(slots = entry.figure?.slots), isOwn = false)
+    }
+
+    private fun updateFigure(
+        entry: UpstreamEntry,
+        figure: LoadFigure,
+        isOwn: Boolean,
+    ) {
+        val others = entry.othersIn(figure)
+        estimator.onFigure(entry, figure, others)
+        entry.updateFigure(figure, others, isOwn)
     }
 
     private fun isDifferentProcess(
@@ -308,15 +424,6 @@
             it.upstream.bornMillis == upstream.bornMillis && !isDifferentProcess(it.upstream, upstream)
         }
 
-    private fun isEligible(
-        entry: UpstreamEntry,
-        query: PlacementQuery,
-    ): Boolean =
-        entry.upstream.service == query.service &&
-            !entry.isLeaving &&
-            entry.upstream.domain !in evacuated &&
-            query.allows(entry.upstream.version)
-
     private fun obstacle(
         entry: UpstreamEntry,
         nanos: Long,
@@ -324,7 +431,7 @@
         when {
             nanos < entry.ejectedUntil -> PlacementObstacle.UNREACHABLE
             entry.statements.isPaused(nanos) -> PlacementObstacle.PAUSED
-            entry.isFull(requestTimes.of(entry.upstream.service), nanos) -> PlacementObstacle.FULL
+            entry.isFull(estimator.requestTime(entry.upstream.service), nanos) -> PlacementObstacle.FULL
             !permitsWhileCold(entry, nanos) -> PlacementObstacle.COLD
             !permitsStatedRate(entry, nanos) -> PlacementObstacle.STATED_RATE
             !entry.statements.permitsAfterPause(entry.lastSentNanos, nanos) -> PlacementObstacle.RETURNING
@@ -350,60 +457,17 @@
 
     private fun coldRate(entry: UpstreamEntry): Double = table?.service(entry.upstream.service)?.coldRequestsPerSecond ?: 0.0
 
-    private fun affinityUpstream(query: PlacementQuery): UpstreamEntry? {
-        val key = query.sharedParts.lastOrNull() ?: return null
-        return entries.values
-            .filter { it.upstream.service == query.service && !it.isLeaving && it.upstream.domain !in evacuated }
-            .filter { query.allows(it.upstream.version) }
-            .maxByOrNull { StableHash.combine(key, it.hash) }
-    }
-
-    private fun medianFailureRate(
-        service: String,
-        nanos: Long,
-    ): Double {
-        val rates = entries.values.filter { it.upstream.service == service }.map { it.expectedFailureRate(nanos) }.sorted()
-        return if (rates.isEmpty()) 0.0 else rates[(rates.size - 1) / 2]
-    }
-
-    private fun cost(
-        entry: UpstreamEntry,
-        query: PlacementQuery,
-        hasAffinity: Boolean,
-        medianFailureRate: Double,
-        nanos: Long,
-    ): Double {
-        val tokensToRead = if (hasAffinity) query.promptTokens - query.sharedTokens else query.promptTokens
-        val prompt = (tokensToRead + entry.pendingTokens) / PROMPT_TOKENS_PER_MILLI
-        val load = LOAD_MILLIS * entry.expectedLoad(nanos) / maxOf(1, entry.upstream.slots)
-        val crossing = if (entry.upstream.domain == domain) 0.0 else CROSS_DOMAIN_MILLIS
-        val failures = FAILURE_MILLIS * maxOf(0.0, entry.expectedFailureRate(nanos) - medianFailureRate - FAILURE_TOLERANCE)
-        val cold = if (entry.isCold(nanos)) COLD_MILLIS else 0.0
-        val tie = if (query.promptTokens > 0) 0.0 else TIE_BREAK_MILLIS * StableHash.unit(StableHash.combine(query.tieBreak, entry.hash))
-        return prompt + load + crossing + failures + cold + tie
-    }
-
     private companion object {
-        /** Prompt tokens that an engine reads per millisecond; the order of magnitude of current accelerators. */
-        const val PROMPT_TOKENS_PER_MILLI = 60.0
-
-        /** Additional wait at an upstream with all slots taken, compared with an idle one, in milliseconds. */
-        const val LOAD_MILLIS = 300.0
-
-        /** Wait that is accepted to avoid crossing failure domains, in milliseconds. */
-        const val CROSS_DOMAIN_MILLIS = 8.0
-
-        /** Largest wait that the tie-break between equally good upstreams adds, in milliseconds. */
-        const val TIE_BREAK_MILLIS = 2.0
-
-        /** Wait that is as bad as a failure rate of 1, in milliseconds. */
-        const val FAILURE_MILLIS = 2_000.0
-
-        /** Excess of an upstream's failure rate over the median that is ignored. */
-        const val FAILURE_TOLERANCE = 0.1
-
-        /** Wait that is accepted to avoid a cold upstream, in milliseconds. */
-        const val COLD_MILLIS = 100.0
+        /** Candidates that are compared by checks before a small and a large prompt is placed, and the tokens that make the difference. */
+        const val MIN_CHECKS = 2
+        const val MAX_CHECKS = 3
+        const val TOKENS_PER_CHECK = 12_000
+
+        /**
+         * Deviation of the expected time to the first event from which on checks are made. A round takes up to 30 ms, and with a limit of
+         * 30 ms short prompts use up the budget that large ones need.
+         */
+        const val MIN_UNCERTAIN_MILLIS = 40.0
 
         const val MAX_EJECTION_DOUBLINGS = 3
 
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/WaitQueue.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/WaitQueue.kt
@@ -1,8 +1,8 @@
 package io.buckthornlever.core.serving
 
 /**
- * Queue of requests that wait for capacity at the upstreams of one service, ordered by priority and then by deadline.
- * Not thread-safe.
+ * Queue of requests that wait for capacity at the upstreams of one service, ordered by priority, then by whether the account uses
+ * more than its share, and then by deadline. Not thread-safe.
  */
 public class WaitQueue<T : Any> {
     private val entries = ArrayList<Entry<T>>()
@@ -10,13 +10,14 @@
     /** Number of waiting requests. */
     public val size: Int get() = entries.size
 
-    /** Adds [request]; a lower [priority] value is served first. */
+    /** Adds [request]; a lower [priority] value is served first, and requests of accounts [beyond their share][isBeyondShare] last. */
     public fun add(
         request: T,
-        priority: Int,
+        priority: RequestPriority,
         deadlineNanos: Long,
+        isBeyondShare: Boolean = false,
     ) {
-        val entry = Entry(request, priority, deadlineNanos)
+        val entry = Entry(request, priority, isBeyondShare, deadlineNanos)
         val found = entries.binarySearch(entry, ORDER)
         entries.add(if (found < 0) -found - 1 else found + 1, entry)
     }
@@ -35,11 +36,12 @@
 
     private class Entry<T>(
         val request: T,
-        val priority: Int,
+        val priority: RequestPriority,
+        val isBeyondShare: Boolean,
         val deadlineNanos: Long,
     )
 
     private companion object {
-        val ORDER: Comparator<Entry<*>> = compareBy<Entry<*>> { it.priority }.thenBy { it.deadlineNanos }
+        val ORDER: Comparator<Entry<*>> = compareBy<Entry<*>> { it.priority }.thenBy { it.isBeyondShare }.thenBy { it.deadlineNanos }
     }
 }
--- a/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/ServingFixtures.kt
+++ b/buckthornlever-core/src/test/kotlin/io/buckthornlever/core/serving/ServingFixtures.kt
@@ -33,6 +33,19 @@
             resumable = resumable,
         )
 
+    fun stream(
+        name: String,
+        priority: Int,
+        targetMillis: Long,
+        timeoutMillis: Long,
+    ): ServedRoute =
+        route(RequestKind.STREAM).copy(
+            name = name,
+            priority = priority,
+            targetLatency = Duration.ofMillis(targetMillis),
+            timeout = Duration.ofMillis(timeoutMillis),
+        )
+
     fun table(coldRequestsPerSecond: Double = 0.0): ServingTable =
         ServingTable(1, emptyList(), listOf(ServedService("s", "/health", 100, coldRequestsPerSecond, true, null)), emptyList())
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
@@ -1,9 +1,13 @@
 package io.buckthornlever.gateway.connection
 
 import io.buckthornlever.api.process.Clock
-import io.netty.buffer.ByteBufUtil
+import io.buckthornlever.core.serving.CallerRefusal
+import io.buckthornlever.core.serving.HolderPhase
+import io.buckthornlever.core.serving.MemoryHolder
+import io.buckthornlever.core.serving.ProcessResources
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -24,56 +28,85 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
-import java.io.ByteArrayOutputStream
+import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
 /**
  * One connection of a caller. Requests are read completely before they are served, one at a time. Reading continues meanwhile,
- * so that a caller that disconnects is noticed at once.
+ * so that a caller that disconnects is noticed at once. What the process holds for the connection counts towards [memory]; while that is
+ * short, the rest of a request is read later or refused.
  */
 internal class CallerConnection(
     private val service: CallerService,
     private val clock: Clock,
+    private val memory: CallerMemory,
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private val pipelined = ArrayDeque<CallerRequest>()
-    private val body = ByteArrayOutputStream()
+    private val body = BodyBuffer()
+    private var decoder: CallerDecoder? = null
     private var partialRequest: HttpRequest? = null
+    private var partialHeadBytes = 0
+
+    /** Length of the body that is being read; -1 if the caller does not state it. */
+    private var bodyLength = -1
+
+    /** Bytes of the requests that wait or are being served. */
+    private var requestBytes = 0L
+    private var pendingBytes = 0L
+    private var timer: Future<*>? = null
     private var requestStartNanos = 0L
     private var currentReply: Reply? = null
     private var headStartNanos: Long? = null
     private var idleSinceNanos = 0L
     private var isClosing = false
+    private var isReleased = false
+
+    /** True while nothing may be read. */
+    var isPaused = false
+        private set
+
+    /** What the connection holds. */
+    lateinit var holder: MemoryHolder
+        private set
 
-    /** True while no request is being read, waiting or being served. */
-    val isIdle: Boolean get() = currentReply == null && partialRequest == null && pipelined.isEmpty() && headStartNanos == null
+    /** True while no request is being read, waiting or being served, and no response is being sent. */
+    val isIdle: Boolean get() = hasNoRequest && pendingBytes() == 0L
+
+    private val hasNoRequest: Boolean get() = currentReply == null && pipelined.isEmpty() && !isReading
+
+    private val isReading: Boolean get() = partialRequest != null || headStartNanos != null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
+        decoder = channel.pipeline().get(CallerDecoder::class.java)
+        holder = memory.add(this)
+        refresh()
     }
 
+    override fun handlerRemoved(context: ChannelHandlerContext): Unit = release()
+
     override fun channelActive(context: ChannelHandlerContext) {
         idleSinceNanos = clock.monotonicNanos()
         checkTimeouts()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        onClosed(this)
-        isClosing = true
-        pipelined.clear()
+        release()
         currentReply?.onDisconnected()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         currentReply?.exchange?.onWritabilityChanged(channel.isWritable)
+        refresh()
     }
 
     override fun exceptionCaught(
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        context.close()
+        fail(cause)
     }
 
     override fun channelRead(
@@ -99,6 +132,36 @@
         if (partialRequest == null && headStartNanos == null) headStartNanos = clock.monotonicNanos()
     }
 
+    /** Counts what is left of [count] bytes that have been received and decoded, and stops reading while memory is short. */
+    fun onBytesDecoded(count: Int) {
+        memory.onMoved(holder, count)
+        refresh()
+        if (isReading && memory.isShort && !isClosing) limitReading()
+    }
+
+    /** Updates what the connection holds. */
+    fun refresh() {
+        val pending = pendingBytes()
+        if (pending < pendingBytes) memory.onMoved(holder, (pendingBytes - pending).toInt())
+        pendingBytes = pending
+        val replyBytes = currentReply?.let { EXCHANGE_BYTES + it.bufferedBytes } ?: 0
+        val readBytes = (decoder?.heldBytes ?: 0) + partialHeadBytes + body.heldBytes
+        memory.update(holder, ProcessResources.CONNECTION_BYTES + requestBytes + readBytes + replyBytes + pending, phase())
+    }
+
+    /** Reads on after a pause. */
+    fun resumeReading() {
+        if (!isPaused) return
+        isPaused = false
+        channel.config().isAutoRead = true
+    }
+
+    /** Gives back the memory: refuses a request that is still being read, and closes the connection. */
+    fun giveUp() {
+        val canRespond = currentReply == null && !isClosing && pendingBytes() == 0L
+        if (isReading && canRespond) refuse(HttpResponseStatus.SERVICE_UNAVAILABLE) else close()
+    }
+
     fun close() {
         isClosing = true
         channel.close()
@@ -113,9 +176,15 @@
         partialRequest = request
         requestStartNanos = clock.monotonicNanos()
         headStartNanos = null
-        body.reset()
-        if (HttpUtil.isContentLengthSet(request) && HttpUtil.getContentLength(request) > service.limits.maxBodyBytes) {
-            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        body.clear()
+        partialHeadBytes = RequestHeadSize.of(request.headers().size(), decoder?.headBytes ?: 0)
+        val length = if (HttpUtil.isContentLengthSet(request)) HttpUtil.getContentLength(request) else -1
+        if (length > service.limits.maxBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        bodyLength = length.toInt()
+        refresh()
+        if (!memory.admitsHead(partialHeadBytes)) {
+            memory.refused(CallerRefusal.HEAD_TOO_LARGE_NOW)
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
         } else if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
         }
@@ -123,23 +192,108 @@
 
     private fun readContent(content: HttpContent) {
         val request = partialRequest ?: return
-        body.write(ByteBufUtil.getBytes(content.content()))
-        if (body.size() > service.limits.maxBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        if (body.size + content.content().readableBytes() > service.limits.maxBodyBytes) {
+            return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        }
+        body.append(content.content(), bodyLength)
         if (content !is LastHttpContent) return
         partialRequest = null
-        pipelined.addLast(CallerRequest(request, body.toByteArray(), requestStartNanos))
+        val complete = CallerRequest(request, body.take(), requestStartNanos, partialHeadBytes)
+        partialHeadBytes = 0
+        pipelined.addLast(complete)
+        requestBytes += complete.heldBytes
+        resumeReading()
         if (pipelined.size > MAX_PIPELINED) return refuse(HttpResponseStatus.TOO_MANY_REQUESTS)
+        if (pipelined.size > 1 && requestBytes > MAX_PIPELINED_BYTES) return refuseSentAhead()
         // Runs after all available bytes have been read, so that a caller that disconnected after its request is noticed before.
         channel.eventLoop().execute { serveNext() }
     }
 
     private fun serveNext() {
         if (currentReply != null || isClosing || !channel.isActive) return
-        val request = pipelined.removeFirstOrNull() ?: return
+        val request = pipelined.removeFirstOrNull()
+        if (request == null) {
+            renewDecoder()
+            return refresh()
+        }
         val reply = Reply(request)
         currentReply = reply
-        val exchange = service.serve(request, reply)
-        reply.exchange = exchange
+        try {
+            reply.exchange = service.serve(request, reply)
+        } catch (e: Throwable) {
+            // Otherwise the connection would wait forever for a response, and an error would end the event loop.
+            fail(e)
+        }
+        refresh()
+    }
+
+    /** Gives back the buffer for long lines, and lets changed limits apply. */
+    private fun renewDecoder() {
+        val current = decoder ?: return
+        if (current.isInsideMessage || !hasNoRequest) return
+        if (current.scratchBytes == 0 && current.maxHeaderBytes == service.limits.maxHeaderBytes) return
+        val next = CallerDecoder(service.limits.maxHeaderBytes)
+        channel.pipeline().replace(current, null, next)
+        decoder = next
+    }
+
+    /** Stops reading until there is room for the rest; requests behind one that is being served are refused instead. */
+    private fun limitReading() {
+        if (currentReply != null || pipelined.isNotEmpty()) {
+            if (partialRequest != null && body.size > 0) refuseSentAhead()
+        } else if (!memory.mayRead(holder, restBytes())) {
+            isPaused = true
+            channel.config().isAutoRead = false
+        }
+    }
+
+    /** Bytes that the rest of the request takes, or a part of it if the caller does not state its length. */
+    private fun restBytes(): Int =
+        when {
+            partialRequest == null -> UNKNOWN_REST_BYTES
+            bodyLength >= 0 -> maxOf(0, bodyLength - body.heldBytes)
+            else -> minOf(maxOf(UNKNOWN_REST_BYTES, body.size), service.limits.maxBodyBytes - body.size)
+        }
+
+    /** Drops the requests behind the one that is being served. None of them runs, and the response before them closes the connection. */
+    private fun refuseSentAhead() {
+        memory.refused(CallerRefusal.SENT_AHEAD)
+        refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+    }
+
+    private fun phase(): HolderPhase =
+        when {
+            currentReply != null -> if (channel.isWritable) HolderPhase.SERVING else HolderPhase.WRITING
+            pipelined.isNotEmpty() -> HolderPhase.SERVING
+            isReading -> HolderPhase.READING
+            pendingBytes > 0 -> HolderPhase.WRITING
+            else -> HolderPhase.IDLE
+        }
+
+    /** Bytes of responses that the caller has not taken yet. */
+    private fun pendingBytes(): Long = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+
+    private fun fail(cause: Throwable) {
+        memory.onConnectionFailed(cause)
+        close()
+    }
+
+    private fun release() {
+        if (isReleased) return
+        isReleased = true
+        isClosing = true
+        timer?.cancel(false)
+        partialRequest = null
+        dropWaiting()
+        memory.remove(holder)
+        onClosed(this)
+    }
+
+    private fun dropWaiting() {
+        pipelined.clear()
+        requestBytes = currentReply?.heldBytes ?: 0
+        partialHeadBytes = 0
+        body.clear()
     }
 
     private fun refuseMalformed(cause: Throwable) {
@@ -153,7 +307,9 @@
     private fun refuse(status: HttpResponseStatus) {
         isClosing = true
         partialRequest = null
-        pipelined.clear()
+        dropWaiting()
+        resumeReading()
+        refresh()
         if (currentReply != null) {
             currentReply?.closesAfterReply = true
             return
@@ -161,6 +317,7 @@
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0)
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS)
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
@@ -173,15 +330,15 @@
             when {
                 headStart != null -> limits.headerTimeout.toNanos() - (now - headStart)
                 partialRequest != null -> limits.idleTimeout.toNanos() - (now - requestStartNanos)
-                isIdle -> limits.idleTimeout.toNanos() - (now - idleSinceNanos)
+                hasNoRequest -> limits.idleTimeout.toNanos() - (now - idleSinceNanos)
                 else -> limits.idleTimeout.toNanos()
             }
         if (left <= 0) {
-            if (isIdle) close() else refuse(HttpResponseStatus.REQUEST_TIMEOUT)
+            if (hasNoRequest) close() else refuse(HttpResponseStatus.REQUEST_TIMEOUT)
             return
         }
         val wait = minOf(left, limits.headerTimeout.toNanos()) + TIMER_SLACK_NANOS
-        channel.eventLoop().schedule({ checkTimeouts() }, wait, TimeUnit.NANOSECONDS)
+        timer = channel.eventLoop().schedule({ checkTimeouts() }, wait, TimeUnit.NANOSECONDS)
     }
 
     private inner class Reply(
@@ -189,12 +346,15 @@
     ) : CallerReply {
         var exchange: CallerExchange? = null
         var closesAfterReply = !HttpUtil.isKeepAlive(request.head)
+        val heldBytes: Long = request.heldBytes
+
+        /** Bytes of the response that are held until it may be sent. */
+        var bufferedBytes = 0
+            private set
         private var done = false
-        private var isDisconnected = false
 
         fun onDisconnected() {
             if (done) return
-            isDisconnected = true
             done = true
             exchange?.onCallerDisconnected()
         }
@@ -210,8 +370,7 @@
             response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
             if (status.code() != NO_CONTENT) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
             setConnectionHeader(response.headers())
-            channel.writeAndFlush(response)
-            finish()
+            finish(channel.writeAndFlush(response))
         }
 
         override fun start(
@@ -227,13 +386,19 @@
         }
 
         override fun write(bytes: ByteArray) {
-            if (!done) channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+            if (done) return
+            channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+            if (pendingBytes > 0 || pendingBytes() > 0) refresh()
+        }
+
+        override fun onBuffered(bytes: Int) {
+            bufferedBytes = bytes
+            if (!done) refresh()
         }
 
         override fun end() {
             if (done) return
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-            finish()
+            finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
         }
 
         override fun abort() {
@@ -248,16 +413,19 @@
             if (closesAfterReply) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
 
-        private fun finish() {
+        /** Serves the next request once this response is [sent]; a caller that does not read would make responses pile up. */
+        private fun finish(sent: ChannelFuture) {
             done = true
             currentReply = null
+            requestBytes -= heldBytes
             idleSinceNanos = clock.monotonicNanos()
             if (closesAfterReply) {
                 isClosing = true
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+                sent.addListener(ChannelFutureListener.CLOSE)
             } else {
-                channel.eventLoop().execute { serveNext() }
+                sent.addListener { channel.eventLoop().execute { serveNext() } }
             }
+            refresh()
         }
     }
 
@@ -267,6 +435,18 @@
         /** Requests that may wait on one connection while an earlier one is served. */
         const val MAX_PIPELINED = 16
 
+        /** Bytes of these requests; a single one may be larger. */
+        const val MAX_PIPELINED_BYTES = 1_024 * 1_024
+
+        /** Part of a body of unknown length for which room is asked at once. */
+        const val UNKNOWN_REST_BYTES = 64 * 1_024
+
+        /** Memory of a request in work beside its head and body, with the connection to its upstream. */
+        const val EXCHANGE_BYTES = 8 * 1_024
+
+        /** Time in which stalled callers are closed and requests in work end. */
+        const val RETRY_AFTER_SECONDS = 1
+
         /** Added to each timer, so that one that fires slightly early is not set again at once. */
         const val TIMER_SLACK_NANOS = 5_000_000L
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerReply.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerReply.kt
@@ -24,6 +24,9 @@
     /** Completes a started response. */
     public fun end()
 
+    /** Tells that [bytes] of the response are held until it is complete. */
+    public fun onBuffered(bytes: Int): Unit = Unit
+
     /** Aborts a started response, so that it does not look complete. */
     public fun abort()
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ConnectionPool.kt
@@ -6,6 +6,7 @@
 import io.buckthornlever.api.process.Clock
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.UnpooledByteBufAllocator
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -14,14 +15,20 @@
 import io.netty.handler.codec.http.HttpRequestEncoder
 import java.time.Duration
 
-/** Pool of outbound connections, by address. Idle connections are reused while the server keeps them open. */
+/**
+ * Pool of outbound connections, by address. Idle connections are reused while the server keeps them open.
+ *
+ * @param maxOpen open connections beyond which the one that has been idle for longest is closed before another one is opened
+ */
 public class ConnectionPool(
     private val loop: EventLoop,
     private val clock: Clock,
     private val connectTimeout: Duration,
+    private val maxOpen: Int = Int.MAX_VALUE,
 ) {
     private val idle = HashMap<ServerAddress, ArrayDeque<OutboundConnection>>()
     private var purgedAt = clock.monotonicNanos()
+    private var openCount = 0
 
     /** Number of idle connections that the pool holds. */
     public val idleCount: Int get() = idle.values.sumOf { it.size }
@@ -87,12 +94,15 @@
         done: (Result<OutboundConnection, String>) -> Unit,
     ) {
         openedCount++
+        if (++openCount > maxOpen) closeLongestIdle()
         val connection = OutboundConnection(address, ::release)
         Bootstrap()
             .group(loop)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator(false))
             .option(ChannelOption.TCP_NODELAY, true)
+            // Tells the server's orderly close, which may end a response, from any other end of the connection.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.toMillis().toInt())
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
@@ -102,10 +112,17 @@
                 },
             ).connect(address.host, address.port)
             .addListener { result ->
+                (result as ChannelFuture).channel().closeFuture().addListener { openCount-- }
                 if (result.isSuccess) done(Ok(connection)) else done(Err("no connection to $address: ${result.cause()?.message}"))
             }
     }
 
+    private fun closeLongestIdle() {
+        val (address, connections) = idle.entries.minByOrNull { it.value.first().idleSinceNanos } ?: return
+        connections.removeFirst().close()
+        if (connections.isEmpty()) idle.remove(address)
+    }
+
     private fun release(connection: OutboundConnection) {
         connection.idleSinceNanos = clock.monotonicNanos()
         val idleConnections = idle.getOrPut(connection.remoteAddress) { ArrayDeque() }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
@@ -20,13 +20,14 @@
 
 /**
  * Makes calls to one server, each with a timeout. A connection whose response is overdue, or whose body is larger than
- * [maxResponseBytes], is closed.
+ * [maxResponseBytes], is closed. Connections that were idle for longer than [maxIdle] are not used.
  */
 public class HttpCallClient(
     private val loop: EventLoop,
     private val pool: ConnectionPool,
     private val address: ServerAddress,
     private val maxResponseBytes: Int = DEFAULT_MAX_RESPONSE_BYTES,
+    private val maxIdle: Duration = MAX_IDLE,
 ) {
     /** Number of calls made since the start. */
     public var callCount: Long = 0
@@ -45,7 +46,7 @@
         val call = Call(maxResponseBytes, done)
         val timer = loop.schedule({ call.onTimeout() }, timeout.toMillis(), TimeUnit.MILLISECONDS)
         call.onDone = { timer.cancel(false) }
-        pool.acquire(address, MAX_IDLE) { result ->
+        pool.acquire(address, maxIdle) { result ->
             result.onFailure { call.finish(Err(HttpCallFailure(it, false))) }
             result.onSuccess { call.sendOn(it, request(method, path, headers, body)) }
         }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/OutboundConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -76,6 +77,8 @@
         isReusable = false
         skippedBytes = 0
         interimResponses = 0
+        // Still off if the receiver of the response before was slow to the end.
+        if (!channel.config().isAutoRead) channel.config().isAutoRead = true
         channel.writeAndFlush(request).addListener { result ->
             if (result.isSuccess) isRequestWritten = true else fail("request could not be written: ${result.cause()?.message}", true)
         }
@@ -133,6 +136,14 @@
     override fun channelInactive(context: ChannelHandlerContext): Unit =
         fail("connection closed by the server", isConnectionLost = true)
 
+    /** The server has closed its end; a response without length has been completed by that. */
+    override fun userEventTriggered(
+        context: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event === ChannelInputShutdownEvent.INSTANCE) fail("connection closed by the server", isConnectionLost = true)
+    }
+
     private fun handleHead(response: HttpResponse) {
         if (response.status().code() < FIRST_FINAL_STATUS) {
             isSkipping = true
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ResponseDecoder.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/ResponseDecoder.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.gateway.connection
 
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.util.ReferenceCountUtil
@@ -15,6 +16,20 @@
     /** True if bytes have arrived that are not decoded yet. */
     val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
 
+    /** The statuses that HTTP defines; Netty parses any number, also with a sign or without leading zeros. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(STATUS.matches(initialLine[1])) { "invalid status" }
+        return super.createMessage(initialLine)
+    }
+
+    /**
+     * Drops an incomplete response. The server's orderly close is reported before, by a ChannelInputShutdownEvent, and then ends a response
+     * without length; here the connection was reset, or closed by this process.
+     */
+    override fun channelInactive(context: ChannelHandlerContext) {
+        context.fireChannelInactive()
+    }
+
     override fun channelRead(
         context: ChannelHandlerContext,
         message: Any,
@@ -25,6 +40,7 @@
     }
 
     companion object {
+        private val STATUS = Regex("[1-5][0-9]{2}")
         private val STATUS_LINE = Regex("""HTTP/1\.[01] \d{3}""")
 
         /** True if the head of [response] contains another status line, as two heads do of which the first one was cut. */
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/CborCodec.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/CborCodec.kt
@@ -12,10 +12,13 @@
 /** Encodes and decodes the CBOR messages between instances. */
 @OptIn(ExperimentalSerializationApi::class)
 internal object CborCodec {
+    /** Fields that a later release has added are ignored. */
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+
     fun <T> encode(
         serializer: SerializationStrategy<T>,
         value: T,
-    ): ByteArray = Cbor.encodeToByteArray(serializer, value)
+    ): ByteArray = cbor.encodeToByteArray(serializer, value)
 
     /** Decodes [bytes], which may come from anyone; the error says why they are no valid message. */
     fun <T> decode(
@@ -25,7 +28,7 @@
         // The decoder of the library does not return on some truncated input.
         if (!CborSyntax.isCompleteItem(bytes)) return Err("truncated or malformed CBOR")
         return try {
-            Ok(Cbor.decodeFromByteArray(serializer, bytes))
+            Ok(cbor.decodeFromByteArray(serializer, bytes))
         } catch (e: SerializationException) {
             Err(e.message ?: "undecodable CBOR")
         } catch (e: IllegalArgumentException) {
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -1,9 +1,6 @@
 package io.buckthornlever.gateway.process
 
-import com.github.michaelbull.result.onFailure
-import com.github.michaelbull.result.onSuccess
 import io.buckthornlever.api.connection.UpstreamId
-import io.buckthornlever.api.process.AccountId
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.process.InstanceId
@@ -15,9 +12,10 @@
 import io.buckthornlever.api.serving.StateObject
 import io.buckthornlever.api.serving.StateStore
 import io.buckthornlever.api.serving.StateValue
+import io.buckthornlever.api.serving.StoreRevision
+import io.buckthornlever.core.serving.BalancerOptions
 import io.buckthornlever.core.serving.DemandMeter
 import io.buckthornlever.core.serving.LapseGracePeriod
-import io.buckthornlever.core.serving.LeaseCandidates
 import io.buckthornlever.core.serving.LocalQuotaLimiter
 import io.buckthornlever.core.serving.PoisonPartTracker
 import io.buckthornlever.core.serving.PoisonRequestTracker
@@ -33,8 +31,10 @@
 import io.buckthornlever.gateway.connection.ConnectionPool
 import io.buckthornlever.gateway.connection.ServerAddress
 import io.buckthornlever.gateway.request.CallerProtocol
+import io.buckthornlever.gateway.request.OverloadControl
 import io.buckthornlever.gateway.request.PoisonGuard
 import io.buckthornlever.gateway.request.RequestAdmission
+import io.buckthornlever.gateway.request.RequestGuards
 import io.buckthornlever.gateway.request.ServingContext
 import io.buckthornlever.gateway.request.TrafficCounters
 import io.netty.channel.EventLoop
@@ -50,27 +50,44 @@
     private val loop: EventLoop,
     private val clock: Clock,
     private val protocol: CallerProtocol,
-    private val directStore: StateStore,
+    directStore: StateStore,
     duties: SingletonDuties,
     private val log: EventLog,
     private val onStopped: () -> Unit,
 ) {
     private val tableCache = ServingTableCache(settings.tableAgeLimits)
-    private val balancer = UpstreamBalancer(InstanceId(settings.instance), settings.domain, clock)
+    private val balancer =
+        UpstreamBalancer(
+            InstanceId(settings.instance),
+            settings.domain,
+            clock,
+            BalancerOptions(settings.isEnabled(Feature.EXPECTED_TIME), settings.isEnabled(Feature.LOAD_CHECKS)),
+        )
+    private val loadSharing = LoadSharing(settings, clock, balancer)
     private val incarnation = clock.now().toEpochMilli()
-    private val quotaCeilings = QuotaCeilings(settings.quota.window, clock.monotonicNanos())
-    private val localQuotaLimiter = LocalQuotaLimiter(settings.instance, settings.quota, clock.monotonicNanos(), quotaCeilings)
+    private val quotaCeilings = QuotaCeilings(settings.quota.retention, clock.monotonicNanos())
+    private val localQuotaLimiter =
+        LocalQuotaLimiter(
+            settings.instance,
+            settings.quota,
+            clock.monotonicNanos(),
+            quotaCeilings,
+            settings.isEnabled(Feature.QUOTA_CREDIT),
+        )
     private val retryBudget =
         ServiceRetryBudget(settings.retryRatio, settings.retryWindow, settings.retrySlack) { nanos ->
             quotaCeilings.grantableWithoutAccount(settings.retryWindow, nanos)
         }
     private val poisonRequests = PoisonRequestTracker()
     private val poisonParts = PoisonPartTracker()
+    private val metrics = GatewayMetrics()
     private val usageLedger = UsageLedger(settings.usageWindow?.toMillis() ?: DEFAULT_WINDOW_MILLIS)
+    private val usageExchange = UsageExchange(usageLedger, clock, metrics)
     private val demand = DemandMeter()
-    private val metrics = GatewayMetrics()
-    private val pool = ConnectionPool(loop, clock, UPSTREAM_CONNECT_TIMEOUT)
-    private val peers = PeerExchange(loop, clock, settings.instance, GatewayInstance(), log)
+    private val limiters = CallerLimiters(settings.resources, loop, clock, metrics, log)
+    private val pool = ConnectionPool(loop, clock, UPSTREAM_CONNECT_TIMEOUT, settings.resources.outboundConnections)
+    private val localInstance = GatewayInstance()
+    private val peers = PeerExchange(loop, clock, settings, localInstance, log, metrics)
     private val versionOrders =
         VersionOrders(InstanceId(settings.instance), settings.unprovedVersionPercent) { maxOf(MIN_EVIDENCE_INTERVAL, peers.interval) }
     private val quotaCharger =
@@ -84,6 +101,8 @@
             peers::send,
             { peers.recordOf(it)?.domain == settings.domain },
             { account, cost -> ceilingStore.raise(account, cost) },
+            settings.isEnabled(Feature.QUOTA_CREDIT),
+            { peers.versionOf(it) > PeerProtocol.UNSTATED },
         )
     private val context =
         ServingContext(
@@ -94,7 +113,10 @@
             balancer,
             quotaCharger,
             retryBudget,
-            PoisonGuard(poisonRequests, poisonParts),
+            RequestGuards(
+                PoisonGuard(poisonRequests, poisonParts),
+                OverloadControl(tableCache, balancer, settings::isEnabled, log, metrics),
+            ),
             TrafficCounters(usageLedger, demand),
             pool,
             log,
@@ -102,14 +124,24 @@
             versionOrders,
         )
     private val admission = RequestAdmission(context, ::isStateRestored, ::checkPause)
-    private val callerListener = CallerListener(loop, admission, clock)
-    private val probeListener = CallerListener(loop, ProbeService(::isReady, metrics), clock)
-    private val ownRecord =
-        InstanceRecord(settings.instance, settings.peerAddress.host, settings.peerAddress.port, settings.domain, settings.linkMegabits)
+    private val callerListener = CallerListener(loop, admission, clock, limiters.callers)
+    private val probeListener = CallerListener(loop, ProbeService(::isReady, metrics), clock, limiters.probes)
+    private val ownRecord = settings.registration
     private val relayLogs = FOLLOWED_KINDS.associateWith { RelayLog(RelayWaits.maxAge(it)) }
-    private val relayService = RelayService(loop, clock, relayLogs, ::checkPause)
-    private val relayListener = CallerListener(loop, relayService, clock)
-    private val store: StateStore = RelayedStore(directStore, ownRecord, peers::liveRecords, loop, clock, log)
+    private val relayService = RelayService(loop, clock, relayLogs, limiters.memory::hasRoomFor, ::checkPause)
+    private val relayListener = CallerListener(loop, relayService, clock, limiters.relays)
+    private val storeCalls = StoreCallCounter(metrics)
+    private val store: StateStore =
+        RelayedStore(
+            CountedStore(directStore, storeCalls, StoreCallCause.FOLLOWED_STATE),
+            CountedStore(directStore, storeCalls, StoreCallCause.RELAY_FALLBACK),
+            ownRecord,
+            // What a relay of a release without versions serves lacks the era.
+            { peers.liveRecords().filter { it.protocol > PeerProtocol.UNSTATED } },
+            loop,
+            clock,
+            log,
+        )
     private val quotaAllocations = QuotaAllocationStore(settings, ownRecord, store, clock, localQuotaLimiter, log)
     private val ceilingStore =
         QuotaCeilingStore(
@@ -122,11 +154,24 @@
             { tableCache.table?.account(it) },
             log,
         )
-    private val dutyRunner = DutyRunner(settings.instance, clock, store, duties, usageLedger, settings.usageWindow, settings.leaseTtl, log)
+    private val dutyRunner =
+        DutyRunner(
+            settings.instance,
+            clock,
+            store,
+            duties,
+            usageLedger,
+            settings.usageWindow,
+            settings.leaseTtl,
+            log,
+            settings.usageLate,
+            { if (areInstancesListed) peers.liveNames() else null },
+            peers::sendNow,
+            ::announceRelease,
+        )
     private val orderSender =
         UpstreamOrderSender(
-            settings.instance,
-            settings.domains,
+            settings,
             clock,
             duties,
             balancer,
@@ -134,6 +179,7 @@
             versionOrders::orderedVersion,
             log,
             dutyRunner::onSuperseded,
+            peers::liveNames,
         )
     private val suspectParts =
         SuspectPartExchange(settings.instance, clock, poisonParts, peers, { dutyRunner.fencing != null }, log)
@@ -146,6 +192,7 @@
     private var areInstancesListed = false
     private var storeUnavailable = false
     private val restoreDetector = StoreRestoreDetector(store, log, ::onStoreRestored)
+    private val registration = InstanceRegistration(loop, store, settings.instance, ownRecord, restoreDetector)
     private val lapseGrace = LapseGracePeriod()
 
     /** Time after the start of a shutdown beyond which new requests are refused, since they may outlast the rest of the grace. */
@@ -167,7 +214,7 @@
             }
             ceilingStore.start { releaseWaiting() }
             suspectPartStore.start(settings.firstStart, ::releaseWaiting)
-            register()
+            registration.register()
             tick()
             loop.schedule(log::open, LOG_OPEN_DELAY_MILLIS, TimeUnit.MILLISECONDS)
         }
@@ -178,6 +225,9 @@
             balancer.upstreams.count { !it.isLeaving }.toDouble()
         }
         metrics.registerGauge("buckthornlever_requests_waiting", "Requests that wait for room") { context.queues.waitingCount.toDouble() }
+        metrics.registerGauge("buckthornlever_overloaded_services", "Services whose less urgent requests are delayed or refused") {
+            context.overload.engagedCount.toDouble()
+        }
         metrics.registerGauge("buckthornlever_version_orders", "Services that operators have ordered to another version") {
             versionOrders.size.toDouble()
         }
@@ -188,12 +238,21 @@
             val now = clock.monotonicNanos()
             balancer.upstreams.count { it.statements.isPaused(now) }.toDouble()
         }
+        metrics.registerGauge("buckthornlever_load_figure_age_seconds", "Mean age of the load figures of upstreams") {
+            val now = clock.monotonicNanos()
+            val ages = balancer.upstreams.mapNotNull { it.figureAge(now) }
+            if (ages.isEmpty()) 0.0 else ages.sumOf { it.toNanos() / NANOS_PER_SECOND } / ages.size
+        }
         metrics.registerGauge("buckthornlever_leaving_upstreams", "Registered upstreams that have announced their end") {
             balancer.upstreams.count { it.isLeaving }.toDouble()
         }
         metrics.registerGauge("buckthornlever_store_era", "Era of the store, which rises when it is restored from a copy") {
             (restoreDetector.era ?: 0).toDouble()
         }
+        metrics.registerGauge("buckthornlever_unreported_usage_windows", "Usage windows that have ended and are not known to be reported") {
+            val newestEnded = usageLedger.windowIndex(clock.now().toEpochMilli()) - 1
+            (newestEnded - (dutyRunner.reportedThrough ?: newestEnded)).coerceAtLeast(0).toDouble()
+        }
         metrics.registerGauge("buckthornlever_blocked_prompt_parts", "Prompt parts blocked since runs with them crashed upstreams") {
             poisonParts.blocked.size.toDouble()
         }
@@ -210,6 +269,9 @@
         stoppingSince = clock.monotonicNanos()
         admission.draining = true
         log.write(GatewayEvent.SHUTDOWN_STARTED, "open" to callerListener.openConnections)
+        // Written here, too, since the platform may end the process before the grace is over.
+        logStoreCalls()
+        dutyRunner.resign()
         continueStop()
     }
 
@@ -221,8 +283,12 @@
         val isGraceOver = elapsed >= settings.grace.minus(EXIT_MARGIN)
         if (isGraceOver || (elapsed >= BALANCER_REACTION_TIME && callerListener.openConnections == 0)) {
             callerListener.endExchanges()
+            usageExchange.onEnded()
             peers.sendNow()
+            // While nobody holds the lease, whoever gains it has no other source for the counts of this process and of ended ones.
+            peers.sendToCandidates(localInstance.completeState())
             log.open()
+            logStoreCalls()
             log.write(GatewayEvent.STOPPED, "open" to callerListener.openConnections, "afterMillis" to elapsed.toMillis())
             loop.schedule(onStopped, EXIT_DELAY_MILLIS, TimeUnit.MILLISECONDS)
             return
@@ -230,6 +296,9 @@
         loop.schedule({ continueStop() }, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    private fun logStoreCalls(): Unit =
+        log.write(GatewayEvent.STORE_CALLS_COUNTED, "total" to storeCalls.total, "counts" to EventLog.Whole(storeCalls.summary()))
+
     /** Releases the requests that were parked until the serving table and the state of earlier processes are known. */
     private fun releaseWaiting() {
         if (tableCache.table != null && isStateRestored()) admission.releaseParked()
@@ -265,7 +334,8 @@
         suspectParts.tick()
         suspectPartStore.tick(dutyRunner.fencing != null)
         versionOrderRunner.tick()
-        if (stoppingSince == null) dutyRunner.tick(LeaseCandidates.includes(settings.instance, peers.liveNames()))
+        context.overload.tick(now)
+        if (stoppingSince == null) dutyRunner.tick(settings.instance in peers.leaseCandidates())
         val table = tableCache.table
         val fencing = dutyRunner.fencing
         if (table != null && fencing != null) orderSender.tick(table, fencing)
@@ -278,6 +348,7 @@
         if (paused.isZero) return
         tableCache.onPause(now)
         localQuotaLimiter.onPause(now)
+        quotaCharger.onPause()
         relayLogs.values.forEach { it.onPause(now) }
         quotaAllocations.read(::releaseWaiting)
         log.write(GatewayEvent.PAUSE_DETECTED, "millis" to paused.toMillis())
@@ -291,7 +362,7 @@
         ceilingStore.onStoreRestored()
         suspectPartStore.onStoreRestored()
         versionOrders.onStoreRestored()
-        confirmRegistration()
+        registration.confirm()
     }
 
     private fun updateMembers() {
@@ -323,97 +394,106 @@
             else -> LOST_GRACE
         }
 
-    private fun register() {
-        val value = StateValue.Instance(ownRecord)
-        store.create(StateKind.INSTANCES, settings.instance, value) { result ->
-            result.onSuccess { restoreDetector.check() }
-            result.onFailure { failure ->
-                when (failure) {
-                    is StateFailure.Conflict -> store.replace(StateKind.INSTANCES, settings.instance, null, value) { replaced ->
-                        replaced.onFailure { scheduleRegistration() }
-                    }
-                    else -> scheduleRegistration()
-                }
-            }
-        }
-    }
+    /** Tells the candidates for the duty lease that this instance has given it back, with what only its holder knows. */
+    private fun announceRelease(version: ObjectVersion): Unit = peers.sendToCandidates(holderStatus(version, Duration.ZERO, true))
 
-    /** Registers again if a restored store lacks the registration. All instances do this at once, and most only have to read. */
-    private fun confirmRegistration() {
-        store.read(StateKind.INSTANCES, settings.instance) { result ->
-            result.onSuccess { if ((it.value as? StateValue.Instance)?.record != ownRecord) register() }
-            result.onFailure { if (it == StateFailure.NotFound) register() else scheduleRegistration() }
-        }
-    }
-
-    private fun scheduleRegistration() {
-        loop.schedule({ register() }, REGISTRATION_RETRY_MILLIS, TimeUnit.MILLISECONDS)
+    private fun holderStatus(
+        version: ObjectVersion,
+        left: Duration,
+        isLast: Boolean,
+    ): List<PeerMessage.HolderStatus> {
+        val now = clock.monotonicNanos()
+        val scaled = tableCache.table?.services.orEmpty().filter { it.scaling != null }
+        val rates = scaled.associate { it.name to demand.tokensPerSecond(it.name, now) }
+        val status = PeerMessage.HolderStatus(settings.instance, version.value, left.toMillis(), rates, dutyRunner.isRenewalUncertain)
+        val ended = usageExchange.endedProcesses(dutyRunner.reportedThrough, peers.liveNames(), isLast)
+        return if (ended.isEmpty()) listOf(status) else ended.map { status.copy(ended = it) }
     }
 
     private inner class GatewayInstance : LocalInstance {
+        override val record: InstanceRecord get() = ownRecord
+
         override fun holdsDutyLease(): Boolean = dutyRunner.fencing != null
 
         override fun state(): PeerMessage.State =
             PeerMessage.State(
                 settings.instance,
                 incarnation,
-                ownUsageWindows(),
+                usageExchange.ownWindows(dutyRunner.reportedThrough),
                 poisonRequests.counts(clock.monotonicNanos()),
                 demand.ownTotals.toMap(),
+                usageExchange.firstOpenWindow,
+                loads = loadSharing.own(),
+                accountRates = context.overload.ownAccountRates(clock.monotonicNanos()),
             )
 
+        override fun completeState(): List<PeerMessage.State> {
+            val state = state()
+            val ended = usageExchange.endedProcesses(dutyRunner.reportedThrough, peers.liveNames(), true)
+            return if (ended.isEmpty()) listOf(state) else ended.map { state.copy(ended = it) }
+        }
+
         override fun overview(silent: Set<String>): PeerMessage.Overview =
             PeerMessage.Overview(
                 settings.instance,
                 incarnation,
                 dutyRunner.fencing ?: 0,
-                ownUsageWindows(),
+                usageExchange.ownWindows(dutyRunner.reportedThrough),
                 poisonRequests.countsByInstance(settings.instance, clock.monotonicNanos()),
                 silent,
+                usageExchange.firstOpenWindow,
+                dutyRunner.reportedThrough,
+                loads = loadSharing.all(peers.registeredCount, peers.interval),
+                accountRates = context.overload.accountRates(clock.monotonicNanos()),
             )
 
-        override fun holderStatus(): PeerMessage.HolderStatus? {
-            val (version, left) = dutyRunner.heldLease ?: return null
-            val now = clock.monotonicNanos()
-            val scaled = tableCache.table?.services.orEmpty().filter { it.scaling != null }
-            val rates = scaled.associate { it.name to demand.tokensPerSecond(it.name, now) }
-            return PeerMessage.HolderStatus(settings.instance, version.value, left.toMillis(), rates)
+        override fun holderStatus(): List<PeerMessage.HolderStatus> {
+            val (version, left) = dutyRunner.heldLease ?: return emptyList()
+            return holderStatus(version, left, false)
         }
 
-        override fun onMessage(message: PeerMessage) =
+        override fun onMessage(
+            message: PeerMessage,
+            version: Int,
+        ) =
             when (message) {
                 is PeerMessage.HolderStatus -> {
-                    dutyRunner.onHolderAnnounced(ObjectVersion(message.leaseVersion), Duration.ofMillis(message.validMillis))
+                    val left = Duration.ofMillis(message.validMillis)
+                    // Without the era, the version may be that of another record of a restored store; the lease is read instead.
+                    if (version > PeerProtocol.UNSTATED || StoreRevision.eraOf(message.leaseVersion) >= store.era) {
+                        dutyRunner.onHolderAnnounced(ObjectVersion(message.leaseVersion), left, message.isUncertain)
+                    }
+                    usageExchange.recordEnded(message.ended)
                     demand.onAnnounced(message.demand, clock.monotonicNanos())
                 }
                 is PeerMessage.State -> onMessage(message)
                 is PeerMessage.Overview -> {
-                    recordUsage(message.sender, message.incarnation, message.windows)
+                    usageExchange.record(message.sender, message.incarnation, message.windows, message.firstOpenWindow)
                     poisonRequests.replacePeers(message.breaks - settings.instance)
-                    dutyRunner.onHeldElsewhere()
+                    dutyRunner.onHeldElsewhere(message.reportedThrough)
+                    loadSharing.onReceived(message.sender, message.incarnation, message.loads)
+                    context.overload.onAccountRates(message.accountRates, clock.monotonicNanos())
                 }
                 is PeerMessage.SuspectParts -> suspectParts.onMessage(message)
                 is PeerMessage.VersionEvidence -> versionOrderRunner.onMessage(message)
-                is PeerMessage.ChargeRequest -> {
+                is PeerMessage.ChargeRequest,
+                is PeerMessage.ChargeResponse,
+                is PeerMessage.ChargeRefund,
+                is PeerMessage.CreditRequest,
+                is PeerMessage.CreditResponse,
+                is PeerMessage.CreditReturn,
+                -> {
                     checkPause()
-                    quotaCharger.onChargeRequest(message)
+                    quotaCharger.onMessage(message)
                 }
-                is PeerMessage.ChargeResponse -> quotaCharger.onChargeResponse(message)
-                is PeerMessage.ChargeRefund -> quotaCharger.onChargeRefund(message)
             }
 
-        private fun ownUsageWindows(): Map<Long, Map<String, Long>> =
-            usageLedger.recentWindows().mapValues { (_, counts) -> counts.mapKeys { it.key.value } }
-
-        private fun recordUsage(
-            sender: String,
-            incarnation: Long,
-            windows: Map<Long, Map<String, Long>>,
-        ) = usageLedger.updatePeer(sender, incarnation, windows.mapValues { (_, counts) -> counts.mapKeys { AccountId(it.key) } })
-
         private fun onMessage(state: PeerMessage.State) {
-            recordUsage(state.sender, state.incarnation, state.windows)
+            usageExchange.record(state.sender, state.incarnation, state.windows, state.firstOpenWindow)
+            usageExchange.recordEnded(state.ended)
             poisonRequests.updatePeer(state.sender, state.breaks)
+            loadSharing.onReceived(state.sender, state.incarnation, state.loads)
+            context.overload.onPeerAccountRates(state.sender, state.accountRates, clock.monotonicNanos())
             demand.updatePeer(state.sender, state.incarnation, state.demand, clock.monotonicNanos())
         }
     }
@@ -585,6 +665,7 @@
                 StateKind.QUOTA_HOLDINGS,
             )
         const val TICK_MILLIS = 200L
+        const val NANOS_PER_SECOND = 1e9
 
         /** Shortest interval at which an instance sends evidence on ordered versions. */
         val MIN_EVIDENCE_INTERVAL: Duration = Duration.ofMillis(500)
@@ -592,7 +673,6 @@
         /** Even a process on a slow host is serving by then. */
         const val LOG_OPEN_DELAY_MILLIS = 1_500L
         const val STOP_CHECK_MILLIS = 100L
-        const val REGISTRATION_RETRY_MILLIS = 500L
         const val DEFAULT_WINDOW_MILLIS = 60_000L
 
         /** Time for the last datagrams and log lines to be sent. */
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewaySettings.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewaySettings.kt
@@ -1,7 +1,10 @@
 package io.buckthornlever.gateway.process
 
 import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.serving.InstanceRecord
+import io.buckthornlever.core.serving.ProcessResources
 import io.buckthornlever.core.serving.QuotaBounds
+import io.buckthornlever.core.serving.SenderLimiter
 import io.buckthornlever.core.serving.TableAgeLimits
 import io.buckthornlever.gateway.connection.ServerAddress
 import java.time.Duration
@@ -22,8 +25,12 @@
  * @property unprovedVersionPercent largest share of requests for a version that operators have ordered, until it has proved good
  * @property leaseTtl time after which a lease expires unless it is renewed
  * @property usageWindow length of an accounting window; null if usage is not reported
+ * @property usageLate time from the end of an accounting window until its report is due; null if it is not known
  * @property firstStart true if no instance of the site can have served requests before
  * @property grace time from the shutdown request until the process must have exited
+ * @property senderBytesPerSecond bytes of datagrams that are decoded of one sender in a second
+ * @property resources what this process may use
+ * @property disabledFeatures features that the operator has switched off
  */
 public data class GatewaySettings(
     val instance: String,
@@ -43,4 +50,15 @@
     val usageWindow: Duration?,
     val firstStart: Boolean,
     val grace: Duration,
-)
+    val resources: ProcessResources = ProcessResources(Runtime.getRuntime().maxMemory()),
+    val disabledFeatures: Set<Feature> = emptySet(),
+    val usageLate: Duration? = null,
+    val senderBytesPerSecond: Long = SenderLimiter.DEFAULT_BYTES_PER_SECOND,
+) {
+    /** Registration of this instance. */
+    internal val registration: InstanceRecord
+        get() = InstanceRecord(instance, peerAddress.host, peerAddress.port, domain, linkMegabits, PeerProtocol.CURRENT)
+
+    /** True unless the operator has switched [feature] off. */
+    public fun isEnabled(feature: Feature): Boolean = feature !in disabledFeatures
+}
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerExchange.kt
@@ -5,6 +5,7 @@
 import io.buckthornlever.api.serving.InstanceRecord
 import io.buckthornlever.core.serving.LeaseCandidates
 import io.buckthornlever.core.serving.LiveInstances
+import io.buckthornlever.core.serving.SenderLimiter
 import io.buckthornlever.gateway.connection.ServerAddress
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBufUtil
@@ -30,10 +31,13 @@
 internal class PeerExchange(
     private val loop: EventLoop,
     private val clock: Clock,
-    private val self: String,
+    settings: GatewaySettings,
     private val localInstance: LocalInstance,
     private val log: EventLog,
+    metrics: GatewayMetrics,
 ) {
+    private val self = settings.instance
+    private val limiter = SenderLimiter<InetSocketAddress>(settings.senderBytesPerSecond)
     private val addresses = HashMap<String, InetSocketAddress>()
     private val records = HashMap<String, InstanceRecord>()
     private val liveInstances = LiveInstances()
@@ -43,8 +47,15 @@
     private var overviewSentAt = Long.MIN_VALUE / 2
     private var hasReported = false
     private var unreadableLoggedAt = Long.MIN_VALUE / 2
+    private var limitedLoggedAt = Long.MIN_VALUE / 2
     private var channel: Channel? = null
 
+    init {
+        metrics.registerGauge("buckthornlever_datagrams_limited", "Datagrams ignored since their senders had sent too much") {
+            limiter.limitedCount.toDouble()
+        }
+    }
+
     /** Interval between two state messages of an instance. */
     val interval: Duration get() = Duration.ofMillis(maxOf(MIN_INTERVAL_MILLIS, addresses.size * INTERVAL_MILLIS_PER_INSTANCE))
 
@@ -77,32 +88,44 @@
     fun addPeer(record: InstanceRecord) {
         if (record.name == self) return
         records[record.name] = record
-        addresses[record.name] = InetSocketAddress(record.host, record.peerPort)
+        val address = InetSocketAddress(record.host, record.peerPort)
+        val before = addresses.put(record.name, address)
+        if (before != null && before != address) limiter.unregister(before)
+        limiter.register(address)
         liveInstances.onHeard(record.name, clock.monotonicNanos())
     }
 
     fun removePeer(name: String) {
-        addresses.remove(name)
+        addresses.remove(name)?.let(limiter::unregister)
         records.remove(name)
         liveInstances.remove(name)
     }
 
-    /** Sends [message] to the instance [name]; returns false if the instance is unknown or the socket is not bound yet. */
+    /** Version of [PeerProtocol] that the instance [name] states in its registration. */
+    fun versionOf(name: String): Int = records[name]?.protocol ?: PeerProtocol.UNSTATED
+
+    /**
+     * Sends [message] to the instance [name]; returns false if the instance is unknown or does not know such messages, or if the socket
+     * is not bound yet.
+     */
     fun send(
         name: String,
         message: PeerMessage,
     ): Boolean {
         val address = addresses[name] ?: return false
         val openChannel = channel ?: return false
-        openChannel.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(encode(message)), address))
+        val bytes = encode(message, versionOf(name)) ?: return false
+        openChannel.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), address))
         return true
     }
 
     /** Sends [message] to all other instances. */
     fun broadcast(message: PeerMessage) {
         val openChannel = channel ?: return
-        val bytes = encode(message)
-        for (address in addresses.values) openChannel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address))
+        for ((version, names) in addresses.keys.groupBy(::versionOf)) {
+            val bytes = encode(message, version) ?: continue
+            for (name in names) openChannel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), addresses.getValue(name)))
+        }
         openChannel.flush()
     }
 
@@ -124,10 +147,14 @@
         sendHolderStatus()
     }
 
-    private fun sendHolderStatus() {
-        val status = localInstance.holderStatus() ?: return
-        val live = liveNames() + self
-        live.filter { it != self && LeaseCandidates.includes(it, live - it) }.forEach { send(it, status) }
+    /** Names of the instances that are candidates for the duty lease, as far as this instance knows. */
+    fun leaseCandidates(): Set<String> = LeaseCandidates.of(liveRecords() + localInstance.record)
+
+    private fun sendHolderStatus(): Unit = sendToCandidates(localInstance.holderStatus())
+
+    /** Sends [messages] to the other candidates for the duty lease. */
+    fun sendToCandidates(messages: List<PeerMessage>) {
+        for (candidate in leaseCandidates() - self) messages.forEach { send(candidate, it) }
     }
 
     private fun sendPeriodically() {
@@ -136,24 +163,32 @@
         loop.schedule({ sendPeriodically() }, nextInterval.toMillis(), TimeUnit.MILLISECONDS)
     }
 
-    private fun encode(message: PeerMessage): ByteArray {
-        val bytes = CborCodec.encode(PeerMessage.serializer(), message)
+    private fun encode(
+        message: PeerMessage,
+        version: Int,
+    ): ByteArray? {
+        val bytes = PeerProtocol.encode(message, version) ?: return null
         if (bytes.size > MAX_DATAGRAM_BYTES) {
             log.write(GatewayEvent.DATAGRAM_TOO_LARGE, "type" to message::class.simpleName, "bytes" to bytes.size)
         }
         return bytes
     }
 
-    private fun onOverview(overview: PeerMessage.Overview) {
+    private fun onOverview(
+        overview: PeerMessage.Overview,
+        version: Int,
+    ) {
         if (overview.fencing < overviewFencing) return
         val isNewHolder = overview.sender != overviewSender || overview.fencing != overviewFencing
         overviewFencing = overview.fencing
         overviewSender = overview.sender
-        overviewReceivedAt = clock.monotonicNanos()
+        val now = clock.monotonicNanos()
+        val wasSilent = now - overviewReceivedAt > HOLDER_PAUSE_NANOS
+        overviewReceivedAt = now
         liveInstances.updateSilent(overview.silent - self)
-        localInstance.onMessage(overview)
-        // A new holder has no state of this instance yet.
-        if (isNewHolder || !hasReported) send(overview.sender, localInstance.state())
+        localInstance.onMessage(overview, version)
+        // A new holder has no state of this instance yet, and one that was out of reach may wait for the newest.
+        if (isNewHolder || wasSilent || !hasReported) localInstance.completeState().forEach { send(overview.sender, it) }
         hasReported = true
     }
 
@@ -162,16 +197,25 @@
             context: ChannelHandlerContext,
             packet: DatagramPacket,
         ) {
-            val message =
-                CborCodec.decode(PeerMessage.serializer(), ByteBufUtil.getBytes(packet.content())).getOrElse {
+            val isAdmitted = limiter.admits(packet.sender(), packet.content().readableBytes(), clock.monotonicNanos())
+            if (!isAdmitted) return logLimited(packet)
+            val (version, message) =
+                PeerProtocol.decode(ByteBufUtil.getBytes(packet.content())).getOrElse {
                     return logUnreadable(packet, it)
                 }
             if (message.sender == self || message.sender !in addresses) return
             liveInstances.onHeard(message.sender, clock.monotonicNanos())
-            if (message is PeerMessage.Overview) onOverview(message) else localInstance.onMessage(message)
+            if (message is PeerMessage.Overview) onOverview(message, version) else localInstance.onMessage(message, version)
         }
     }
 
+    private fun logLimited(packet: DatagramPacket) {
+        val now = clock.monotonicNanos()
+        if (now - limitedLoggedAt < UNREADABLE_LOG_INTERVAL.toNanos()) return
+        limitedLoggedAt = now
+        log.write(GatewayEvent.DATAGRAMS_LIMITED, "from" to packet.sender(), "total" to limiter.limitedCount)
+    }
+
     private fun logUnreadable(
         packet: DatagramPacket,
         cause: String,
@@ -207,6 +251,9 @@
         /** Anyone can send datagrams, so the log gets at most one line for them in this time. */
         val UNREADABLE_LOG_INTERVAL: Duration = Duration.ofSeconds(1)
 
+        /** Several intervals of the overviews; a link that fails for longer has lost states, too. */
+        const val HOLDER_PAUSE_NANOS = 2_000_000_000L
+
         /** Silence of the lease holder after which an instance stops sending its state, until it hears from a holder again. */
         const val HOLDER_SILENCE_NANOS = 5_000_000_000L
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerMessage.kt
@@ -19,6 +19,11 @@
      * @property windows number of requests that began to run, by accounting window and client account
      * @property breaks number of runs during which an upstream broke off, by fingerprint of the request content
      * @property demand prompt tokens requested since the start of the process, by service
+     * @property firstOpenWindow first window whose counts may still rise; those of all earlier ones are final. Null from a release that
+     *   does not say so
+     * @property ended counts of other processes that have ended; told when this instance stops and to a new holder
+     * @property loads load figures that upstreams have stated to the instance since its last message
+     * @property accountRates tokens per second that accounts ask the instance for, see `AccountDemand`
      */
     @Serializable
     @SerialName("s")
@@ -28,6 +33,10 @@
         val windows: Map<Long, Map<String, Long>>,
         val breaks: Map<Long, Int>,
         val demand: Map<String, Double>,
+        val firstOpenWindow: Long? = null,
+        val ended: List<EndedProcess> = emptyList(),
+        val loads: SharedLoads? = null,
+        val accountRates: Map<String, Double> = emptyMap(),
     ) : PeerMessage
 
     /**
@@ -38,6 +47,11 @@
      * @property windows the holder's own counts, as in [State]; its successor has no other source for them
      * @property breaks the counts of [State.breaks], by the instance that observed them
      * @property silent registered instances that the holder has not heard from for a long time
+     * @property firstOpenWindow as in [State]
+     * @property reportedThrough newest window that is reported together with all earlier ones, so that nobody needs to send the counts
+     *   of these; null if it is not known
+     * @property loads load figures of upstreams that the holder has learned since its last overview
+     * @property accountRates tokens per second that accounts ask all instances for, see `AccountDemand`
      */
     @Serializable
     @SerialName("o")
@@ -48,6 +62,10 @@
         val windows: Map<Long, Map<String, Long>>,
         val breaks: Map<String, Map<Long, Int>>,
         val silent: Set<String>,
+        val firstOpenWindow: Long? = null,
+        val reportedThrough: Long? = null,
+        val loads: SharedLoads? = null,
+        val accountRates: Map<String, Double> = emptyMap(),
     ) : PeerMessage
 
     /**
@@ -57,6 +75,8 @@
      * @property leaseVersion version of the lease record that the holder acts on
      * @property validMillis time for which it acts on that record unless it renews it
      * @property demand prompt tokens per second requested from all instances, by service
+     * @property isUncertain whether the holder may have written a newer record without having got the response
+     * @property ended counts of processes that have ended, which a successor has no other source for
      */
     @Serializable
     @SerialName("h")
@@ -65,8 +85,18 @@
         val leaseVersion: Long,
         val validMillis: Long,
         val demand: Map<String, Double>,
+        val isUncertain: Boolean = false,
+        val ended: List<EndedProcess> = emptyList(),
     ) : PeerMessage
 
+    /** Counts of a process that has ended, by accounting window and client account; see [State]. */
+    @Serializable
+    data class EndedProcess(
+        val instance: String,
+        val incarnation: Long,
+        val windows: Map<Long, Map<String, Long>>,
+    )
+
     /**
      * Asks a holder of quota shares to charge [cost] units to [account]. [id] is unique within the sender's [incarnation].
      *
@@ -103,6 +133,64 @@
         val id: Long,
     ) : PeerMessage
 
+    /**
+     * Asks a holder of quota shares for units that the sender may spend for a short time. [id] is unique within the sender's [incarnation].
+     * Releases before this message type do not answer it.
+     *
+     * @property cost units that a request waits for; 0 asks only whether the holder answers and what it has
+     * @property ahead further units that the sender expects to need
+     * @property priority priority of the request; 0 is the most urgent
+     * @property partial true if fewer units than [cost] are of use
+     * @property raise true if no holder has room below its ceiling, so that the ceiling should be raised
+     */
+    @Serializable
+    @SerialName("k")
+    data class CreditRequest(
+        override val sender: String,
+        val incarnation: Long,
+        val id: Long,
+        val account: String,
+        val cost: Double,
+        val ahead: Double = 0.0,
+        val priority: Int = 0,
+        val partial: Boolean = false,
+        val raise: Boolean = false,
+    ) : PeerMessage
+
+    /**
+     * Response to the credit request [id].
+     *
+     * @property granted units that the receiver may spend; 0 if there was no room
+     * @property free units that are left for requests of that priority
+     * @property waitMillis time after which it makes sense to ask again
+     * @property aboveCeiling true if there is room only above the ceiling
+     * @property smallCost units below which a request is not held back for more urgent ones
+     * @property freeForSmall units that are left for requests of less than [smallCost]
+     */
+    @Serializable
+    @SerialName("l")
+    data class CreditResponse(
+        override val sender: String,
+        val incarnation: Long,
+        val id: Long,
+        val granted: Double = 0.0,
+        val free: Double = 0.0,
+        val waitMillis: Long = 0,
+        val aboveCeiling: Boolean = false,
+        val smallCost: Double = 0.0,
+        val freeForSmall: Double = 0.0,
+    ) : PeerMessage
+
+    /** Tells the holder that [total] units of the credit granted for [id] were not spent, including those of earlier messages. */
+    @Serializable
+    @SerialName("m")
+    data class CreditReturn(
+        override val sender: String,
+        val incarnation: Long,
+        val id: Long,
+        val total: Double,
+    ) : PeerMessage
+
     /** Evidence on prompt parts that may crash upstreams, by part: of one instance to the lease holder, or merged from it to all. */
     @Serializable
     @SerialName("p")
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/ProbeService.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/ProbeService.kt
@@ -13,7 +13,8 @@
     private val isReady: () -> Boolean,
     private val metrics: GatewayMetrics,
 ) : CallerService {
-    override val limits: CallerLimits = CallerLimits()
+    /** Its requests have no body. */
+    override val limits: CallerLimits = CallerLimits(maxHeaderBytes = MAX_HEADER_BYTES, maxBodyBytes = 0)
     override val draining: Boolean = false
 
     override fun serve(
@@ -41,6 +42,7 @@
     }
 
     private companion object {
+        const val MAX_HEADER_BYTES = 8 * 1_024
         const val METRICS_PATH = "/metrics"
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayPaths.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayPaths.kt
@@ -10,5 +10,8 @@
     /** Time for which the relay may hold the request until there are changes, in milliseconds. */
     const val WAIT_MILLIS = "wait"
 
+    /** Version of [PeerProtocol] that the asking instance knows; absent from releases that state none. */
+    const val VERSION = "version"
+
     fun of(kind: StateKind): String = "/state/" + kind.name.lowercase().replace('_', '-')
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayService.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayService.kt
@@ -20,17 +20,20 @@
  * Serves the shared state to other instances that follow this one instead of the store. A request for which there are no changes
  * is held until there are some, for at most the wait that it states (long polling).
  *
+ * @param hasRoomFor returns true if a response of the given size may be held until the other instance has read it
  * @param checkPause called on the arrival of each request, so that a suspension of the host is detected before stale state is served
  */
 internal class RelayService(
     private val loop: EventLoop,
     private val clock: Clock,
     private val logs: Map<StateKind, RelayLog>,
+    private val hasRoomFor: (Int) -> Boolean,
     private val checkPause: () -> Unit,
 ) : CallerService {
     private val pendingPolls = HashMap<StateKind, LinkedHashSet<PendingPoll>>()
 
-    override val limits: CallerLimits = CallerLimits()
+    /** Its requests have no body. */
+    override val limits: CallerLimits = CallerLimits(maxHeaderBytes = MAX_HEADER_BYTES, maxBodyBytes = 0)
     override val draining: Boolean = false
 
     override fun serve(
@@ -42,11 +45,19 @@
         val kind = StateKind.entries.firstOrNull { RelayPaths.of(it) == uri.path() && it in logs }
         if (kind == null) {
             reply.respond(HttpResponseStatus.NOT_FOUND, DefaultHttpHeaders(), EMPTY)
-            return UnknownPathExchange
+            return AnsweredExchange
         }
-        val since = uri.longParameter(RelayPaths.SINCE)
+        val newest = logs.getValue(kind).revision
+        val statedSince = uri.longParameter(RelayPaths.SINCE)
+        val format = RelayFormat.of(uri.longParameter(RelayPaths.VERSION) ?: 0, statedSince, newest)
+        if (format == null) {
+            // The follower then asks the store itself.
+            reply.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, DefaultHttpHeaders(), EMPTY)
+            return AnsweredExchange
+        }
+        val since = format.since(statedSince, newest)
         val wait = (uri.longParameter(RelayPaths.WAIT_MILLIS) ?: 0).coerceIn(0, MAX_WAIT_MILLIS)
-        val poll = PendingPoll(kind, since, request.arrivedNanos, reply)
+        val poll = PendingPoll(kind, since, format, request.arrivedNanos, reply)
         if (!poll.respond(wait == 0L || since == null)) {
             pendingPolls.getOrPut(kind) { LinkedHashSet() }.add(poll)
             poll.timer = loop.schedule({ poll.respond(true) }, wait, TimeUnit.MILLISECONDS)
@@ -70,6 +81,7 @@
     private inner class PendingPoll(
         private val kind: StateKind,
         private val since: Long?,
+        private val format: RelayFormat,
         private val arrivedNanos: Long,
         private val reply: CallerReply,
     ) : CallerExchange {
@@ -83,8 +95,11 @@
             when (logReply) {
                 is RelayReply.Changes -> {
                     val response = RelayResponse(logReply.changes, logReply.revision, logReply.asOfNanos - arrivedNanos)
-                    val body = CborCodec.encode(RelayResponse.serializer(), response)
-                    reply.respond(HttpResponseStatus.OK, DefaultHttpHeaders(), body)
+                    val body = CborCodec.encode(RelayResponse.serializer(), format.convert(response))
+                    // Otherwise the other instance asks the next relay, or the store.
+                    val hasRoom = body.size <= SMALL_BYTES || hasRoomFor(body.size)
+                    val status = if (hasRoom) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
+                    reply.respond(status, DefaultHttpHeaders(), if (hasRoom) body else EMPTY)
                 }
                 RelayReply.HistoryGone -> reply.respond(HttpResponseStatus.GONE, DefaultHttpHeaders(), EMPTY)
                 RelayReply.Unavailable -> reply.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, DefaultHttpHeaders(), EMPTY)
@@ -102,8 +117,8 @@
         }
     }
 
-    /** A request for an unknown path, which is already answered. */
-    private object UnknownPathExchange : CallerExchange {
+    /** A request that is already answered. */
+    private object AnsweredExchange : CallerExchange {
         override fun onCallerDisconnected() = Unit
 
         override fun onWritabilityChanged(writable: Boolean) = Unit
@@ -114,6 +129,10 @@
     private companion object {
         /** Upper limit of the wait that a request may state. */
         const val MAX_WAIT_MILLIS = 10_000L
+        const val MAX_HEADER_BYTES = 4 * 1_024
+
+        /** Response that is sent even while memory is short; usual changes are smaller. */
+        const val SMALL_BYTES = 16 * 1_024
         val EMPTY = ByteArray(0)
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayWaits.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayWaits.kt
@@ -22,8 +22,11 @@
     /** Longest wait of a request to a relay. */
     fun followerWait(kind: StateKind): Duration = wait(kind)
 
-    /** Age beyond which a relay does not serve its state any more: two watches and the time for a response. */
-    fun maxAge(kind: StateKind): Duration = relayWait(kind).multipliedBy(2).plusMillis(RESPONSE_MILLIS)
+    /**
+     * Age beyond which a relay does not serve its state any more: two watches, the pause after a watch that has brought changes, and the
+     * time for both responses. Without the pause, a watch that ended late with changes made a relay refuse in normal operation.
+     */
+    fun maxAge(kind: StateKind): Duration = relayWait(kind).multipliedBy(2).plusMillis(StateFeed.BATCH_DELAY_MILLIS + RESPONSE_MILLIS)
 
     private fun wait(kind: StateKind): Duration =
         when (kind) {
@@ -32,5 +35,6 @@
             else -> LOOSE
         }
 
-    private const val RESPONSE_MILLIS = 150L
+    /** Two responses of the store to a process with a third of a core. */
+    private const val RESPONSE_MILLIS = 250L
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/StateFeed.kt
@@ -190,18 +190,18 @@
         loop.schedule(retry, pause, TimeUnit.MILLISECONDS)
     }
 
-    private companion object {
+    companion object {
         /** Backoff after the first failure; doubles with each further failure. */
-        const val INITIAL_BACKOFF_MILLIS = 40L
+        private const val INITIAL_BACKOFF_MILLIS = 40L
 
         /** Delay after a watch with changes; short compared with all bounds on the time in which a change must take effect. */
         const val BATCH_DELAY_MILLIS = 120L
-        const val MAX_DOUBLINGS = 4
+        private const val MAX_DOUBLINGS = 4
 
         /** Pause before an object that could not be applied is read again. */
-        const val READ_DELAY_MILLIS = 500L
+        private const val READ_DELAY_MILLIS = 500L
 
         /** Short enough for changes to take effect within their bounds after an outage of the store. */
-        const val MAX_BACKOFF_MILLIS = 400L
+        private const val MAX_BACKOFF_MILLIS = 400L
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -7,9 +7,11 @@
 import io.buckthornlever.api.serving.RequestKind
 import io.buckthornlever.api.serving.ServedRoute
 import io.buckthornlever.core.serving.AttemptEnd
+import io.buckthornlever.core.serving.PlacementQuery
 import io.buckthornlever.core.serving.StatedLimit
 import io.buckthornlever.core.serving.UpstreamEntry
 import io.buckthornlever.core.version.Outcome
+import io.buckthornlever.gateway.connection.CallerReply
 import io.buckthornlever.gateway.connection.ExchangeListener
 import io.buckthornlever.gateway.connection.HeadDecision
 import io.buckthornlever.gateway.connection.OutboundConnection
@@ -30,19 +32,25 @@
     private val context: ServingContext,
     private val listener: AttemptListener,
     val entry: UpstreamEntry,
-    private val requestId: String?,
-    private val promptTokens: Int,
+    private val request: CallerRequestHead,
+    private val query: PlacementQuery,
     private val route: ServedRoute,
+    private val reply: CallerReply,
 ) : ExchangeListener {
+    private val requestId = request.requestId
+    private val basis = context.balancer.basis(entry, query, context.clock.monotonicNanos())
     private var connection: OutboundConnection? = null
     private var response: HttpResponse? = null
     private var head: UpstreamResponseHead? = null
     private var isRelayingStream = false
     private var isRelayingLargeBody = false
     private var bytesSinceProgress = 0
+
+    /** Bytes of a stream since its last complete event. */
+    private var unrelayedBytes = 0
     private var isFinished = false
     private var promptTokensReleased = false
-    private val body = ByteArrayOutputStream()
+    private var body = ByteArrayOutputStream()
 
     /** A successful response is relayed as it arrives. */
     private val relaysStream = route.kind == RequestKind.STREAM
@@ -72,6 +80,18 @@
     /** Local port of the connection that the request was sent on; null before it was sent. */
     val localPort: Int? get() = connection?.localPort
 
+    /** What the upstream was chosen on, and the time to the first event that it took, as fields of a log line. */
+    val placementFields: Array<Pair<String, Any?>>
+        get() =
+            arrayOf(
+                "tokensToRead" to basis.tokensToRead,
+                "tokensAhead" to basis.tokensAhead,
+                "figureAgeMillis" to basis.figureAge?.toMillis(),
+                "slowdown" to Math.round(basis.slowdown * PERCENT) / PERCENT,
+                "expectedMillis" to basis.expected.firstOutput.toMillis(),
+                "firstOutputMillis" to outputNanos?.let { Duration.ofNanos(it - sentNanos).toMillis() },
+            )
+
     /** True once the request has been handed to a connection. */
     val wasSent: Boolean get() = connection != null
 
@@ -79,7 +99,7 @@
         maxIdle: Duration,
         request: () -> FullHttpRequest,
     ) {
-        context.balancer.onRequestSent(entry, promptTokens, context.clock.monotonicNanos())
+        context.balancer.onRequestSent(entry, basis.tokensToRead, context.clock.monotonicNanos(), query.promptTokens)
         context.pool.acquire(ServerAddress(entry.upstream.host, entry.upstream.port), maxIdle, requestId) { result ->
             result.onSuccess { send(it, request) }
             result.onFailure { failUnreachable(it) }
@@ -162,7 +182,7 @@
     }
 
     private fun recordStatements(head: UpstreamResponseHead) {
-        head.running?.let { context.balancer.onLoadReported(entry, it, head.waiting, progressNanos) }
+        head.load?.let { context.balancer.onLoadReported(entry, it, progressNanos) }
         head.coldFor?.let { context.balancer.onColdReported(entry, it, progressNanos) }
         recordLimit(head.limit)
         if (head.leaving && context.balancer.onLeavingStated(entry, progressNanos)) {
@@ -193,15 +213,26 @@
         if (!isRelayingStream) return bufferBody(bytes)
         if (!hasOutput) {
             hasOutput = true
-            outputNanos = context.clock.monotonicNanos()
+            recordFirstOutput(context.clock.monotonicNanos())
             releasePromptTokens()
             listener.onExecutionStarted(this)
         }
+        unrelayedBytes += bytes.size
         listener.onStreamData(this, bytes)
+        if (unrelayedBytes > REPORTED_EVENT_BYTES) reply.onBuffered(unrelayedBytes)
+    }
+
+    private fun recordFirstOutput(nanos: Long) {
+        outputNanos = nanos
+        val time = Duration.ofNanos(nanos - sentNanos)
+        context.metrics.recordFirstOutput(time, basis.expected.firstOutput)
+        // A cold upstream says nothing about the pace that it will have.
+        if (!wasCold) context.balancer.onFirstOutput(entry, query, basis, time, nanos)
     }
 
     /** Records progress: part of a body has arrived, or a complete event has been relayed. */
     fun recordProgress() {
+        unrelayedBytes = 0
         progressNanos = context.clock.monotonicNanos()
     }
 
@@ -220,13 +251,15 @@
         }
         if (isRelayingLargeBody) return listener.onLargeResponseData(this, bytes)
         body.write(bytes)
+        reply.onBuffered(body.size())
         if (body.size() <= MAX_BUFFERED_BYTES) return
         val response = response ?: return
         if (head?.notRun == true || response.status().code() !in SUCCESS) return failMalformed("error body over $MAX_BUFFERED_BYTES bytes")
         isRelayingLargeBody = true
         listener.onLargeResponseStarted(this, response)
         listener.onLargeResponseData(this, body.toByteArray())
-        body.reset()
+        body = ByteArrayOutputStream(0)
+        reply.onBuffered(0)
     }
 
     override fun onCompleted() {
@@ -304,9 +337,15 @@
         releasePromptTokens()
         val now = context.clock.monotonicNanos()
         context.balancer.onRequestFinished(entry, failed, now, if (failed == false) Duration.ofNanos(now - sentNanos) else null)
+        if (failed == false) outputNanos?.let { recordOutputTime(Duration.ofNanos(now - it)) }
         if (wasSent && head?.notRun != true) recordOutcome(failed ?: false)
     }
 
+    // A resumed stream has fewer output tokens than its caller expects of the whole.
+    private fun recordOutputTime(time: Duration) {
+        if (request.lastEventId == null) context.balancer.onOutputFinished(entry, request.expectedOutputTokens, time)
+    }
+
     /** Records the time to the first token of a stream, and the whole time otherwise; a cancelled attempt would have taken even longer. */
     private fun recordOutcome(failed: Boolean) {
         val now = context.clock.now()
@@ -320,16 +359,20 @@
     private fun releasePromptTokens() {
         if (promptTokensReleased) return
         promptTokensReleased = true
-        context.balancer.onPromptRead(entry, promptTokens)
+        context.balancer.onPromptRead(entry, basis.tokensToRead)
     }
 
     private companion object {
         val SUCCESS = 200..299
         const val FIRST_SERVER_ERROR = 500
+        const val PERCENT = 100.0
 
         /** Largest body that is buffered until it is complete; a few hundred of these fit into the memory of a small instance. */
         const val MAX_BUFFERED_BYTES = 64 * 1_024
 
+        /** Incomplete event from which on its size counts as held for the caller; usual ones arrive whole. */
+        const val REPORTED_EVENT_BYTES = 4 * 1_024
+
         /** Bytes of a body that count as progress. */
         const val PROGRESS_BYTES = 512
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/CallerProtocol.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/CallerProtocol.kt
@@ -18,6 +18,9 @@
     /** Decodes the head of an upstream's response. */
     public fun decodeResponse(response: HttpResponse): UpstreamResponseHead
 
+    /** Decodes the headers of an answer to a health check; null if they don't say whose load it is. */
+    public fun decodeHealth(headers: HttpHeaders): UpstreamHealth?
+
     /** Returns the headers of an upstream's response to send to the caller. */
     public fun callerHeaders(response: HttpResponse): HttpHeaders
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/CallerRequestHead.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/CallerRequestHead.kt
@@ -11,6 +11,7 @@
  * @property promptParts parts of the prompt, in order
  * @property promptTokens number of tokens of the prompt
  * @property maxOutputTokens largest number of tokens of the response
+ * @property outputTokensHint the caller's estimate of the number of output tokens; null if it sent none
  * @property lastEventId ID of the last event that the caller received of the stream that it resumes; null if it resumes none
  */
 public data class CallerRequestHead(
@@ -21,10 +22,14 @@
     val promptTokens: Int,
     val maxOutputTokens: Int,
     val lastEventId: Long?,
+    val outputTokensHint: Int? = null,
 ) {
     /** Parts of the prompt that other requests may share: all but the last. */
     val sharedParts: List<PromptPart> get() = promptParts.dropLast(1)
 
+    /** Output tokens that the caller expects, or else the most that it allows. */
+    val expectedOutputTokens: Int get() = outputTokensHint ?: maxOf(0, maxOutputTokens)
+
     /** Ids of the [sharedParts]. */
     val sharedPartIds: List<Long> get() = sharedParts.map { it.id }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/PlacementQueues.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/PlacementQueues.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.gateway.request
 
 import io.buckthornlever.core.serving.PlacementQuery
+import io.buckthornlever.core.serving.RequestPriority
 import io.buckthornlever.core.serving.WaitQueue
 import io.buckthornlever.gateway.process.GatewayEvent
 import java.util.concurrent.TimeUnit
@@ -21,10 +22,11 @@
     fun add(
         run: ProxiedRequest,
         service: String,
-        rank: Int,
+        priority: RequestPriority,
+        isBeyondShare: Boolean,
         deadlineNanos: Long,
     ) {
-        queues.getOrPut(service) { WaitQueue() }.add(run, rank, deadlineNanos)
+        queues.getOrPut(service) { WaitQueue() }.add(run, priority, deadlineNanos, isBeyondShare)
         retry(service)
         if (waitingCount > 0) scheduleRetry()
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -2,35 +2,26 @@
 
 import io.buckthornlever.api.connection.UpstreamId
 import io.buckthornlever.api.process.RouteName
-import io.buckthornlever.api.serving.QuotaUnit
 import io.buckthornlever.api.serving.RequestKind
 import io.buckthornlever.api.serving.ServedAccount
 import io.buckthornlever.api.serving.ServedRoute
-import io.buckthornlever.api.version.VersionLabel
 import io.buckthornlever.core.serving.AttemptEnd
 import io.buckthornlever.core.serving.EventSplitter
 import io.buckthornlever.core.serving.ExecutionProof
 import io.buckthornlever.core.serving.NextStep
 import io.buckthornlever.core.serving.Placement
-import io.buckthornlever.core.serving.PlacementQuery
 import io.buckthornlever.core.serving.QueueStep
+import io.buckthornlever.core.serving.QuotaDecision
+import io.buckthornlever.core.serving.RequestPriority
 import io.buckthornlever.core.serving.RetryPolicy
 import io.buckthornlever.core.serving.RetryReservation
-import io.buckthornlever.core.serving.StableHash
-import io.buckthornlever.core.version.VersionChoice
+import io.buckthornlever.core.serving.UpstreamEntry
 import io.buckthornlever.gateway.connection.CallerExchange
 import io.buckthornlever.gateway.connection.CallerReply
 import io.buckthornlever.gateway.connection.CallerRequest
 import io.buckthornlever.gateway.process.GatewayEvent
-import io.buckthornlever.gateway.process.QuotaOutcome
-import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.EmptyHttpHeaders
-import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
 import java.time.Duration
 import java.util.concurrent.TimeUnit
@@ -54,19 +45,29 @@
 ) : CallerExchange,
     AttemptListener {
     private val sharedPartIds = head.sharedPartIds
+    private val priority = RequestPriority.of(route, account)
     private val triedUpstreams = HashSet<UpstreamId>()
+    private val placements = RequestPlacement(context, head, service, triedUpstreams, request.arrivedNanos + route.targetLatency.toNanos())
+    private val gate =
+        OverloadGate(
+            context,
+            OverloadGate.describe(service, route, priority, account, head, request.arrivedNanos, deadlineNanos),
+            head.lastEventId != null,
+        ) { schedule(it) { tryPlace() } }
     private val splitter = EventSplitter()
     private val timers = ArrayList<ScheduledFuture<*>>()
-    private var charge: QuotaOutcome = QuotaOutcome.Unlimited
+    private var charge: QuotaDecision = QuotaDecision.Unlimited
     private var attempt: Attempt? = null
     private var retry: RetryReservation? = null
     private var queueDeadlineNanos = 0L
+    private var longestQueueTime = Duration.ZERO
     private var isWaiting = false
     private var drawsOrderedVersion = false
     private var proof = ExecutionProof.NOT_RUN
     private var runs = 0
     private var sends = 0
     private var isUsageCounted = false
+    private var isOutputLate = false
     private var isOutputRecorded = false
     private var isHeadSent = false
     private var isLarge = false
@@ -77,23 +78,21 @@
     /** Charges the request to the quota of its client account, then places it at an upstream. */
     fun start() {
         schedule(deadlineNanos - now()) { onDeadline() }
-        if (account == null) startPlacement() else context.quotas.charge(account, quotaCostOf(account, head), ::onCharged)
+        if (account == null) return startPlacement()
+        val maxWait = route.targetLatency.dividedBy(RequestLimits.QUOTA_WAIT_DIVISOR)
+        context.quotas.charge(account, QuotaCost.of(account, head), route.priority, maxWait, ::onCharged)
     }
 
-    private fun onCharged(outcome: QuotaOutcome) {
+    private fun onCharged(outcome: QuotaDecision) {
         if (isFinished) return context.quotas.refund(outcome)
         charge = outcome
         when (outcome) {
-            QuotaOutcome.Exhausted -> {
+            is QuotaDecision.NoRoom -> {
                 finish("refused", "quota")
-                reply.respond(
-                    HttpResponseStatus.TOO_MANY_REQUESTS,
-                    GatewayResponseHeaders.retryAfter(RequestLimits.RETRY_AFTER_QUOTA),
-                    EMPTY_BODY,
-                )
+                reply.respond(HttpResponseStatus.TOO_MANY_REQUESTS, GatewayResponseHeaders.retryAfter(outcome.retryAfter), EMPTY_BODY)
             }
-            QuotaOutcome.Unreachable -> refuse("no quota holder answered", RequestLimits.RETRY_AFTER_UNCONFIRMED)
-            QuotaOutcome.Unlimited, is QuotaOutcome.ChargedLocally, is QuotaOutcome.ChargedRemotely -> startPlacement()
+            is QuotaDecision.Unknown -> refuse("no quota holder answered", outcome.retryAfter)
+            QuotaDecision.Unlimited, is QuotaDecision.ChargedLocally, is QuotaDecision.ChargedToCredit -> startPlacement()
         }
     }
 
@@ -108,34 +107,66 @@
     fun tryPlace(): QueueStep {
         if (isFinished || !isWaiting) return QueueStep.DONE
         val now = now()
-        if (account != null && !context.tableCache.allowsKeyedRequests(now)) {
-            leaveQueue()
-            giveUp("the table is not confirmed", RequestLimits.RETRY_AFTER_UNCONFIRMED)
-            return QueueStep.DONE
-        }
-        poisonReason()?.let { reason ->
-            leaveQueue()
-            giveUp(reason, RequestLimits.RETRY_AFTER_POISON)
-            return QueueStep.DONE
+        if (gate.isHeld(now)) return QueueStep.BLOCKED
+        refusal(now)?.let { return giveUpWaiting(it) }
+        return if (gate.isHeld(now)) QueueStep.BLOCKED else place(now)
+    }
+
+    private fun place(now: Long): QueueStep {
+        if (gate.hasJustOpened()) {
+            startQueueTime(now)
+            schedule(queueDeadlineNanos - now) { tryPlace() }
         }
-        val placement = choosePlacement(now)
+        if (placements.awaitsCheck(mayCheck(now), drawsOrderedVersion, now)) return QueueStep.BLOCKED
+        val placement = placements.choose(drawsOrderedVersion, now)
         if (placement is Placement.Chosen) {
+            untimelyRun(placement.upstream, now)?.let { return giveUpWaiting(it) }
             leaveQueue()
-            send(Attempt(context, this, placement.upstream, head.requestId, head.promptTokens, route))
+            send(Attempt(context, this, placement.upstream, head, placements.chosenQuery, route, reply))
             return QueueStep.DONE
         }
         if (placement is Placement.Paused && (placement.untriedReturnNanos ?: Long.MAX_VALUE) >= queueDeadlineNanos) {
-            leaveQueue()
-            giveUp("all upstreams ask to be left alone", Duration.ofNanos(placement.returnNanos - now).plusMillis(1))
-            return QueueStep.DONE
+            val pause = Duration.ofNanos(placement.returnNanos - now).plusMillis(1)
+            return giveUpWaiting(RequestRefusal("all upstreams ask to be left alone", pause))
         }
         if (now < queueDeadlineNanos) return if (triedUpstreams.isEmpty()) QueueStep.SATURATED else QueueStep.BLOCKED
+        context.queues.recordShortage(head.requestId, placements.query(), now)
+        val reason = if (placement is Placement.Busy) "no upstream is free" else "no upstream is available"
+        return giveUpWaiting(RequestRefusal(reason, RequestLimits.RETRY_AFTER))
+    }
+
+    /** Returns why the request must not be sent to any upstream now, or null. */
+    private fun refusal(now: Long): RequestRefusal? {
+        if (account != null && !context.tableCache.allowsKeyedRequests(now)) {
+            return RequestRefusal("the table is not confirmed", RequestLimits.RETRY_AFTER_UNCONFIRMED)
+        }
+        return poisonReason()?.let { RequestRefusal(it, RequestLimits.RETRY_AFTER_POISON) } ?: gate.decide(now)
+    }
+
+    /** Returns a refusal if the request has not run anywhere and would begin or end too late at [upstream]. */
+    private fun untimelyRun(
+        upstream: UpstreamEntry,
+        now: Long,
+    ): RequestRefusal? {
+        if (proof != ExecutionProof.NOT_RUN || isHeadSent) return null
+        return gate.checkRun(
+            upstream,
+            placements.chosenQuery,
+            ProgressTimeouts.firstOutput(route, Duration.ofNanos(deadlineNanos - now)),
+            now,
+        )
+    }
+
+    private fun giveUpWaiting(refusal: RequestRefusal): QueueStep {
         leaveQueue()
-        context.queues.recordShortage(head.requestId, placementQuery(), now)
-        giveUp(if (placement is Placement.Busy) "no upstream is free" else "no upstream is available", RequestLimits.RETRY_AFTER)
+        giveUp(refusal.reason, refusal.retryAfter)
         return QueueStep.DONE
     }
 
+    /** False for a stream that a caller resumes, or that is sent again late: a check takes time that it may not have. */
+    private fun mayCheck(now: Long): Boolean =
+        route.kind == RequestKind.STREAM && lastEventId == null && deadlineNanos - now > route.targetLatency.toNanos() / 2
+
     override fun onCallerDisconnected() {
         if (isFinished) return
         context.log.write(GatewayEvent.CALLER_LEFT, "request" to head.requestId, "route" to route.name, "proof" to proof)
@@ -204,6 +235,7 @@
     override fun onStreamCompleted(attempt: Attempt) {
         if (splitter.isInsideEvent) return onFailed(attempt, AttemptEnd.Broken("stream ended inside an event"), null)
         sendHead()
+        gate.onCompleted()
         finish("served")
         reply.end()
         context.queues.retry(service)
@@ -255,6 +287,7 @@
             "retriesUsed" to retries.used.toInt(),
             "retriesAllowed" to retries.allowed.toInt(),
             "instances" to context.retryBudget.instances,
+            *attempt.placementFields,
         )
         perform(next, failure)
         context.queues.retry(service)
@@ -299,49 +332,21 @@
     private fun recordOutput() {
         if (isOutputRecorded) return
         isOutputRecorded = true
+        isOutputLate = now() - request.arrivedNanos > route.targetLatency.toNanos()
         if (sharedPartIds.isNotEmpty()) context.poison.parts.onOutput(sharedPartIds, context.clock.now().toEpochMilli())
     }
 
-    private fun choosePlacement(now: Long): Placement =
-        when (val versions = context.versionOrders.choice(service, drawsOrderedVersion)) {
-            VersionChoice.Any -> context.balancer.choose(placementQuery(), now)
-            is VersionChoice.Avoiding -> {
-                val placement = context.balancer.choose(placementQuery(excludedVersion = versions.version), now)
-                if (placement == Placement.NoUpstream) context.balancer.choose(placementQuery(), now) else placement
-            }
-            is VersionChoice.Preferring -> {
-                val preferred = context.balancer.choose(placementQuery(requiredVersion = versions.version), now)
-                val other = if (preferred is Placement.Chosen) preferred else context.balancer.choose(placementQuery(), now)
-                if (other == Placement.NoUpstream) preferred else other
-            }
-        }
-
-    private fun placementQuery(
-        requiredVersion: VersionLabel? = null,
-        excludedVersion: VersionLabel? = null,
-    ): PlacementQuery {
-        val shared = head.sharedParts.ifEmpty { head.promptParts }
-        return PlacementQuery(
-            service,
-            shared.map {
-                it.id
-            },
-            shared.sumOf { it.tokens },
-            head.promptTokens,
-            triedUpstreams,
-            StableHash.of(head.requestId.orEmpty()),
-            requiredVersion,
-            excludedVersion,
-        )
-    }
-
     private fun placeOrQueue(maxWait: Duration) {
-        val now = now()
-        queueDeadlineNanos = minOf(now + maxWait.toNanos(), deadlineNanos)
+        longestQueueTime = maxWait
+        startQueueTime(now())
         isWaiting = true
-        context.queues.add(this, service, account?.priority ?: route.priority, deadlineNanos)
+        context.queues.add(this, service, context.overload.queuePriority(priority), gate.isBeyondShare(now()), deadlineNanos)
         // The queue alone notices the end of the wait only when capacity is offered to this request.
-        if (isWaiting) schedule(queueDeadlineNanos - now) { tryPlace() }
+        if (isWaiting) schedule(queueDeadlineNanos - now()) { tryPlace() }
+    }
+
+    private fun startQueueTime(now: Long) {
+        queueDeadlineNanos = minOf(now + longestQueueTime.toNanos(), deadlineNanos)
     }
 
     private fun leaveQueue() {
@@ -354,32 +359,24 @@
         retry?.onSent(now())
         this.attempt = attempt
         triedUpstreams.add(attempt.entry.upstream.id)
+        placements.onSent()
         val maxIdle = if (route.repeatable) RequestLimits.MAX_IDLE else RequestLimits.MAX_IDLE_NON_REPEATABLE
-        attempt.start(maxIdle) { buildUpstreamRequest(attempt) }
-        watchProgress(attempt)
-    }
-
-    private fun buildUpstreamRequest(attempt: Attempt): FullHttpRequest {
-        val target =
-            ForwardTarget(
-                attempt.entry.upstream.id,
-                account?.id,
-                Duration.ofNanos(maxOf(0, deadlineNanos - now())),
-                if (isHeadSent) lastEventId else head.lastEventId,
-                null,
+        attempt.start(maxIdle) {
+            val resumeAfter = if (isHeadSent) lastEventId else head.lastEventId
+            val timeLeft = Duration.ofNanos(maxOf(0, deadlineNanos - now()))
+            UpstreamRequests.create(
+                context.protocol,
+                request,
+                ForwardTarget(attempt.entry.upstream.id, account?.id, timeLeft, resumeAfter, context.overload.urgency(service, priority)),
             )
-        val source = request.head
-        val headers = context.protocol.upstreamHeaders(source, target)
-        val hasBody = request.body.isNotEmpty() || source.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-        if (hasBody) headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
-        val content = Unpooled.wrappedBuffer(request.body)
-        return DefaultFullHttpRequest(HttpVersion.HTTP_1_1, source.method(), source.uri(), content, headers, EmptyHttpHeaders.INSTANCE)
+        }
+        watchProgress(attempt)
     }
 
     /** Ends a stalled attempt of a repeatable request while another upstream can still respond in time. */
     private fun watchProgress(watched: Attempt) {
         if (!route.repeatable || runs + 1 >= route.maxAttempts) return
-        val limit = stallTimeoutNanos()
+        val limit = ProgressTimeouts.stall(route, Duration.ofNanos(deadlineNanos - now())).toNanos()
         val left = watched.progressNanos + limit - now()
         schedule(maxOf(left, MIN_CHECK_NANOS)) {
             if (attempt !== watched) return@schedule
@@ -387,14 +384,6 @@
         }
     }
 
-    private fun stallTimeoutNanos(): Long {
-        if (route.kind != RequestKind.STREAM) return ((deadlineNanos - now()) * RequestLimits.ATTEMPT_TIME_SHARE).toLong()
-        val pauses = route.longestPause?.multipliedBy(RequestLimits.CALLER_TIMEOUT_PAUSES) ?: Duration.ZERO
-        val callerTimeout =
-            maxOf(RequestLimits.MIN_CALLER_TIMEOUT, route.targetLatency.multipliedBy(RequestLimits.CALLER_TIMEOUT_TARGET_LATENCIES), pauses)
-        return (callerTimeout.toNanos() * RequestLimits.STALL_TIMEOUT_SHARE).toLong()
-    }
-
     override fun onProcessEnding(): Unit = endNow("the process ends", HttpResponseStatus.BAD_GATEWAY)
 
     private fun onDeadline(): Unit = endNow("deadline passed in the queue", HttpResponseStatus.GATEWAY_TIMEOUT)
@@ -416,7 +405,7 @@
 
     private fun giveUp(
         reason: String,
-        retryAfter: Duration,
+        retryAfter: Duration?,
     ) {
         when {
             isHeadSent -> abort()
@@ -427,11 +416,15 @@
 
     private fun refuse(
         reason: String,
-        retryAfter: Duration,
+        retryAfter: Duration?,
     ) {
         context.quotas.refund(charge)
         finish("refused", reason)
-        reply.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, GatewayResponseHeaders.retryAfter(retryAfter), EMPTY_BODY)
+        reply.respond(
+            HttpResponseStatus.SERVICE_UNAVAILABLE,
+            retryAfter?.let(GatewayResponseHeaders::retryAfter) ?: GatewayResponseHeaders.empty(),
+            EMPTY_BODY,
+        )
     }
 
     private fun fail(status: HttpResponseStatus) {
@@ -464,7 +457,7 @@
             "request" to head.requestId,
             "route" to route.name,
             "account" to account?.id,
-            "units" to account?.let { quotaCostOf(it, head).toLong() },
+            "units" to account?.let { QuotaCost.of(it, head).toLong() },
             "quota" to account?.let { context.quotas.limitOf(it).toLong() },
             "upstream" to attempt?.entry?.upstream?.id,
             "status" to attempt?.status,
@@ -475,6 +468,8 @@
             "table" to context.tableCache.table?.version,
             "outcome" to outcome,
             "reason" to reason,
+            *gate.logFields,
+            *(attempt?.takeIf { isOutputLate }?.placementFields ?: NO_FIELDS),
         )
     }
 
@@ -488,35 +483,19 @@
 
     private fun now(): Long = context.clock.monotonicNanos()
 
-    internal companion object {
-        private const val NANOS_PER_MILLI = 1_000_000L
-        private const val HEX_RADIX = 16
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val HEX_RADIX = 16
 
         /** Largest event that is buffered until it is complete; events of token streams have some hundred bytes. */
-        private const val MAX_EVENT_BYTES = 64 * 1_024
+        const val MAX_EVENT_BYTES = 64 * 1_024
 
         /** Shortest interval between two progress checks of an attempt. */
-        private const val MIN_CHECK_NANOS = 20_000_000L
-        private val EMPTY_BODY = ByteArray(0)
+        const val MIN_CHECK_NANOS = 20_000_000L
+        val EMPTY_BODY = ByteArray(0)
+        val NO_FIELDS = emptyArray<Pair<String, Any?>>()
 
         /** Statuses that tell a caller that its request did not run. */
-        private val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
-
-        /** Units of the quota of [account] that the request with [head] uses. */
-        fun quotaCostOf(
-            account: ServedAccount,
-            head: CallerRequestHead,
-        ): Double {
-            if (account.unit == QuotaUnit.REQUESTS) return 1.0
-            val stated = head.promptTokens.toLong() + head.maxOutputTokens
-            return (if (stated > 0) stated else account.plainTokens).toDouble()
-        }
-
-        /** Hash of the client account, URI and body of a request; the same for each retry by its caller. */
-        fun fingerprintOf(
-            account: ServedAccount?,
-            uri: String,
-            body: ByteArray,
-        ): Long = StableHash.combine(StableHash.of(uri + '\n' + account?.id?.value), StableHash.of(body))
+        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
@@ -74,7 +74,7 @@
         account: ServedAccount?,
         reply: CallerReply,
     ): CallerExchange {
-        val fingerprint = ProxiedRequest.fingerprintOf(account, request.head.uri(), request.body)
+        val fingerprint = RequestFingerprint.of(account, request.head.uri(), request.body)
         context.poison.refusalReason(fingerprint, head.sharedPartIds)?.let {
             return refuse(head, reply, it, RequestLimits.RETRY_AFTER_POISON)
         }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestLimits.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestLimits.kt
@@ -22,8 +22,8 @@
     /** Retry delay for requests that crash upstreams; they will be refused again for minutes. */
     val RETRY_AFTER_POISON: Duration = Duration.ofMinutes(10)
 
-    /** Retry delay for a used-up quota. It refills continuously; by then some requests have left its window. */
-    val RETRY_AFTER_QUOTA: Duration = Duration.ofSeconds(1)
+    /** A request waits for quota for at most its target latency divided by this number; later refusals cost its caller more. */
+    const val QUOTA_WAIT_DIVISOR = 8L
 
     /** Idle time up to which a pooled connection is reused for non-repeatable requests: upstreams may drop one unnoticed. */
     val MAX_IDLE_NON_REPEATABLE: Duration = Duration.ofMillis(1_500)
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ServingContext.kt
@@ -20,12 +20,15 @@
     val balancer: UpstreamBalancer,
     val quotas: QuotaCharger,
     val retryBudget: ServiceRetryBudget,
-    val poison: PoisonGuard,
+    guards: RequestGuards,
     val counters: TrafficCounters,
     val pool: ConnectionPool,
     val log: EventLog,
     val metrics: GatewayMetrics,
     val versionOrders: VersionOrders,
 ) {
+    val poison: PoisonGuard = guards.poison
+    val overload: OverloadControl = guards.overload
     val queues: PlacementQueues = PlacementQueues(this)
+    val loadChecker: LoadChecker = LoadChecker(this)
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/UpstreamResponseHead.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/UpstreamResponseHead.kt
@@ -1,6 +1,7 @@
 package io.buckthornlever.gateway.request
 
 import io.buckthornlever.core.serving.StatedLimit
+import io.buckthornlever.core.serving.StatedLoad
 import io.buckthornlever.core.serving.StatedPause
 import java.time.Duration
 
@@ -10,8 +11,7 @@
  * @property requestId ID of the request that the response belongs to; null if it has none
  * @property hasProofOfOrigin true if the response carries the upstream's proof of origin
  * @property notRun true if the upstream states that the request did not and will not run
- * @property running number of requests that the upstream runs; null if not reported
- * @property waiting number of requests that wait at the upstream
+ * @property load load that the upstream states; null if it states none
  * @property coldFor how long the upstream stays cold, that is, bears little load; null if not reported
  * @property limit what the upstream says about the requests that it takes from all instances together
  * @property leaving true if the upstream says that it will shut down
@@ -21,8 +21,7 @@
     val requestId: String?,
     val hasProofOfOrigin: Boolean,
     val notRun: Boolean,
-    val running: Int?,
-    val waiting: Int,
+    val load: StatedLoad?,
     val coldFor: Duration?,
     val limit: StatedLimit = StatedLimit.None,
     val leaving: Boolean = false,
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/OutboundConnectionTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/connection/OutboundConnectionTest.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
@@ -33,7 +34,7 @@
     fun `an answer shorter than its length is broken`() {
         send()
         receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok")
-        channel.close()
+        closeOrderly()
         assertTrue(listener.text().endsWith("broken"))
     }
 
@@ -41,7 +42,7 @@
     fun `chunks without the last one are broken`() {
         send()
         receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
-        channel.close()
+        closeOrderly()
         assertTrue(listener.text().endsWith("broken"))
     }
 
@@ -49,11 +50,20 @@
     fun `an answer without length ends with its connection`() {
         send()
         receive("HTTP/1.1 200 OK\r\n\r\nok")
-        channel.close()
+        closeOrderly()
         assertEquals("head 200, ok, ended", listener.text())
+        assertFalse(channel.isOpen)
         assertTrue(idle.isEmpty())
     }
 
+    @Test
+    fun `an answer without length is not ended by a close on this side`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\n\r\nok")
+        channel.close()
+        assertEquals("head 200, ok, broken", listener.text())
+    }
+
     @Test
     fun `an answer without length that is reset is broken`() {
         send()
@@ -99,7 +109,7 @@
     fun `bytes that are no answer break the exchange`() {
         send()
         receive("garbage without end\r\n\r\n")
-        channel.close()
+        closeOrderly()
         assertTrue(listener.text().endsWith("broken"))
     }
 
@@ -111,6 +121,23 @@
         assertEquals("head 200, head 200, new, ended", listener.text())
     }
 
+    @Test
+    fun `an idle connection that the server closes is closed`() {
+        send()
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        closeOrderly()
+        assertFalse(channel.isOpen)
+        assertEquals("head 200, ok, ended", listener.text())
+    }
+
+    @Test
+    fun `an invalid status breaks the exchange`() {
+        send()
+        receive("HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        assertEquals("broken", listener.text())
+        assertFalse(channel.isOpen)
+    }
+
     @Test
     fun `an interim answer is not the answer`() {
         send()
@@ -145,6 +172,10 @@
 
     private fun send() = connection.send(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), listener)
 
+    private fun closeOrderly() {
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+    }
+
     private fun receive(text: String) {
         channel.writeInbound(Unpooled.copiedBuffer(text, Charsets.US_ASCII))
     }
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/CborCodecTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/CborCodecTest.kt
@@ -18,6 +18,8 @@
             mapOf(3L to mapOf("a" to 4L)),
             mapOf("i2" to (1L..300L).associate { it * FINGERPRINT_STEP to 1 }, "i3" to mapOf(-1L to 2)),
             setOf("i4"),
+            loads = SharedLoads(5, byteArrayOf(1, 2, -3)),
+            accountRates = mapOf("2/s/a" to 1_500.5),
         )
 
     @Test
@@ -25,6 +27,14 @@
         assertEquals<PeerMessage?>(overview, decode(encode()))
     }
 
+    @Test
+    fun `messages without load and account figures, as other releases send them, are decoded`() {
+        val state = PeerMessage.State("i1", 1, emptyMap(), emptyMap(), emptyMap())
+        assertEquals<PeerMessage?>(state, decode(CborCodec.encode(PeerMessage.serializer(), state)))
+        val plain = overview.copy(loads = null, accountRates = emptyMap())
+        assertEquals<PeerMessage?>(plain, decode(CborCodec.encode(PeerMessage.serializer(), plain)))
+    }
+
     @Test
     fun `an overview cut at any byte is rejected`() {
         val bytes = encode()
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/EventLogTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/EventLogTest.kt
@@ -30,6 +30,17 @@
         assertEquals(listOf(true, true, false), lines.list.map { " at=20" in it.formattedMessage })
     }
 
+    /** Guards against callers that fill the log with ids as long as a request head. */
+    @Test
+    fun `long values are shortened and those of the process are not`() {
+        val log = EventLog("i")
+        log.write(GatewayEvent.CALLER_LEFT, "request" to "r".repeat(16_000), "route" to "x".repeat(1_024))
+        log.write(GatewayEvent.STORE_CALLS_COUNTED, "counts" to EventLog.Whole("c".repeat(2_000)))
+        val texts = lines.list.map { it.formattedMessage }
+        assertTrue(texts[0].endsWith(" request=${"r".repeat(1_024)}...(16000) route=${"x".repeat(1_024)}"), texts[0])
+        assertTrue(texts[1].endsWith(" counts=${"c".repeat(2_000)}"), texts[1])
+    }
+
     @Test
     fun `a failure opens the log`() {
         val log = EventLog("i", deferred = true)
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpEngineControl.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpEngineControl.kt
@@ -17,7 +17,6 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import okhttp3.MediaType.Companion.toMediaType
-import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
@@ -31,8 +30,8 @@
     // A silent retry by OkHttp would give an order twice to an engine that ignores request ids. On a reused connection the copy of
     // an earlier refusal could be taken for the answer to an order that is carried out.
     private val client =
-        OkHttpClient
-            .Builder()
+        HttpClients
+            .builder()
             .callTimeout(timeout)
             .retryOnConnectionFailure(false)
             .addNetworkInterceptor(ImmediateRetryFilter)
@@ -58,7 +57,7 @@
         upstream: UpstreamSpec,
         request: RequestId,
     ): Result<KvHandle, UpstreamError> =
-        post(upstream, "/v1/kv/export", requestBody(request)) { JSON.decodeFromString(KvHandle.serializer(), it.body.boundedString()) }
+        post(upstream, "/v1/kv/export", requestBody(request)) { JSON.decodeFromString(KvHandle.serializer(), it) }
 
     override fun importKv(
         upstream: UpstreamSpec,
@@ -70,7 +69,7 @@
         since: Long,
     ): Result<List<CacheEvent>, UpstreamError> =
         call(Request.Builder().url("${upstream.url}/v1/cache-events?since=$since").build()) {
-            JSON.decodeFromString(WireEvents.serializer(), it.body.boundedString())
+            JSON.decodeFromString(WireEvents.serializer(), it)
         }.map { response -> response.events.map { CacheEvent(it.sequence, it.kind, it.blocks) } }
 
     private fun requestBody(request: RequestId): String = JSON.encodeToString(WireRequest.serializer(), WireRequest(request.value))
@@ -79,16 +78,18 @@
         upstream: UpstreamSpec,
         path: String,
         body: String,
-        read: (Response) -> T,
+        read: (body: String) -> T,
     ): Result<T, UpstreamError> = call(Request.Builder().url(upstream.url + path).post(body.toRequestBody(JSON_TYPE)).build(), read)
 
     private fun <T> call(
         request: Request,
-        read: (Response) -> T,
+        read: (body: String) -> T,
     ): Result<T, UpstreamError> =
         try {
             client.newCall(request).execute().use { response ->
-                if (response.isSuccessful) Ok(read(response)) else Err(UpstreamError.Refused(response.code, retryAfter(response)))
+                // Also where the body says nothing: a response that is cut off confirms no order.
+                val body = response.body.boundedString()
+                if (response.isSuccessful) Ok(read(body)) else Err(UpstreamError.Refused(response.code, retryAfter(response)))
             }
         } catch (e: IOException) {
             Err(UpstreamError.Broken(e.message ?: e.javaClass.simpleName))
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/connection/HttpUpstreamClient.kt
@@ -35,8 +35,8 @@
  */
 public class HttpUpstreamClient : UpstreamClient {
     private val baseClient: OkHttpClient =
-        OkHttpClient
-            .Builder()
+        HttpClients
+            .builder()
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .connectTimeout(CONNECT_TIMEOUT)
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpCloudApi.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpCloudApi.kt
@@ -33,7 +33,7 @@
     }
 
     override fun stop(instanceId: String): Result<Unit, PlatformError> {
-        val result = http.call(Request.Builder().url("$baseUrl$INSTANCES/$instanceId").delete().build()) { }
+        val result = http.call(Request.Builder().url("$baseUrl$INSTANCES/$instanceId").delete().build()) { it.body.boundedString() }.map { }
         // Status 404 means that the instance no longer exists, which is a successful stop.
         return result.fold(success = { Ok(it) }, failure = { if (it == PlatformError.Refused("status 404")) Ok(Unit) else Err(it) })
     }
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpInstanceList.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpInstanceList.kt
@@ -8,11 +8,11 @@
 import io.buckthornlever.api.process.InstanceList
 import io.buckthornlever.api.process.PlatformError
 import io.buckthornlever.api.process.PlatformInstance
+import io.buckthornlever.http.connection.HttpClients
 import io.buckthornlever.http.connection.boundedString
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import okhttp3.OkHttpClient
 import okhttp3.Request
 import java.io.IOException
 import java.time.Duration
@@ -21,7 +21,7 @@
 public class HttpInstanceList(
     private val baseUrl: String,
 ) : InstanceList {
-    private val client = OkHttpClient.Builder().callTimeout(CALL_TIMEOUT).build()
+    private val client = HttpClients.builder().callTimeout(CALL_TIMEOUT).build()
 
     override fun instances(): Result<List<PlatformInstance>, PlatformError> =
         try {
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpObjectStore.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/HttpObjectStore.kt
@@ -10,6 +10,7 @@
 import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.process.StoreError
 import io.buckthornlever.api.process.StoredObject
+import io.buckthornlever.http.connection.HttpClients
 import io.buckthornlever.http.connection.ImmediateRetryFilter
 import io.buckthornlever.http.connection.SendTracker
 import io.buckthornlever.http.connection.SingleUseConnections
@@ -38,8 +39,8 @@
     callTimeout: Duration = DEFAULT_CALL_TIMEOUT,
 ) : ObjectStore {
     private val client: OkHttpClient =
-        OkHttpClient
-            .Builder()
+        HttpClients
+            .builder()
             .retryOnConnectionFailure(false)
             .connectTimeout(CONNECT_TIMEOUT)
             .readTimeout(callTimeout)
@@ -50,28 +51,32 @@
             .build()
 
     override fun get(key: ObjectKey): Result<StoredObject, StoreError> =
-        call(client, objectRequest(key).get(), isWrite = false) { response ->
-            StoredObject(key, versionOf(response), response.body.boundedString())
+        call(client, objectRequest(key).get(), isWrite = false) { response, body ->
+            StoredObject(key, versionOf(response), body)
         }
 
     override fun create(
         key: ObjectKey,
         value: String,
     ): Result<ObjectVersion, StoreError> =
-        call(client, objectRequest(key).put(requestBody(value)).header("If-None-Match", "*"), isWrite = true, ::versionOf)
+        call(client, objectRequest(key).put(requestBody(value)).header("If-None-Match", "*"), isWrite = true) { response, _ ->
+            versionOf(response)
+        }
 
     override fun update(
         key: ObjectKey,
         value: String,
         expected: ObjectVersion,
     ): Result<ObjectVersion, StoreError> =
-        call(client, objectRequest(key).put(requestBody(value)).header("If-Match", entityTag(expected)), isWrite = true, ::versionOf)
+        call(client, objectRequest(key).put(requestBody(value)).header("If-Match", entityTag(expected)), isWrite = true) { response, _ ->
+            versionOf(response)
+        }
 
     override fun delete(
         key: ObjectKey,
         expected: ObjectVersion,
     ): Result<Unit, StoreError> =
-        call(client, objectRequest(key).delete().header("If-Match", entityTag(expected)), isWrite = true) { }
+        call(client, objectRequest(key).delete().header("If-Match", entityTag(expected)), isWrite = true) { _, _ -> }
 
     override fun list(prefix: String): Result<ObjectListing, StoreError> {
         val url = "$baseUrl/v1/objects".toHttpUrl().newBuilder().addQueryParameter("prefix", prefix).build()
@@ -99,8 +104,8 @@
         httpClient: OkHttpClient,
         url: HttpUrl,
     ): Result<ObjectListing, StoreError> =
-        call(httpClient, Request.Builder().url(url), isWrite = false) { response ->
-            JSON.decodeFromString(WireListing.serializer(), response.body.boundedString())
+        call(httpClient, Request.Builder().url(url), isWrite = false) { _, body ->
+            JSON.decodeFromString(WireListing.serializer(), body)
         }.map { wire ->
             ObjectListing(
                 ObjectVersion(wire.revision),
@@ -121,13 +126,15 @@
         httpClient: OkHttpClient,
         builder: Request.Builder,
         isWrite: Boolean,
-        read: (Response) -> T,
+        read: (Response, body: String) -> T,
     ): Result<T, StoreError> {
         val tracker = SendTracker()
         val request = builder.tag(SendTracker::class.java, tracker).build()
         return try {
             httpClient.newCall(request).execute().use { response ->
-                if (response.isSuccessful) Ok(read(response)) else Err(toError(response))
+                // Also where the body says nothing: a response that is cut off confirms no write.
+                val body = response.body.boundedString()
+                if (response.isSuccessful) Ok(read(response, body)) else Err(toError(response))
             }
         } catch (e: IOException) {
             Err(callFailure(e.message ?: e.javaClass.simpleName, isWrite && tracker.mayHaveBeenSent))
--- a/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/PlatformHttpClient.kt
+++ b/buckthornlever-http/src/main/kotlin/io/buckthornlever/http/process/PlatformHttpClient.kt
@@ -4,13 +4,13 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.buckthornlever.api.process.PlatformError
+import io.buckthornlever.http.connection.HttpClients
 import io.buckthornlever.http.connection.ImmediateRetryFilter
 import io.buckthornlever.http.connection.SingleUseConnections
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import okhttp3.MediaType.Companion.toMediaType
-import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
@@ -25,8 +25,8 @@
     // A silent retry by OkHttp could start an instance twice when the service ignores request ids. On a reused connection the copy of
     // an earlier refusal could be taken for the answer to a start that takes effect.
     private val client =
-        OkHttpClient
-            .Builder()
+        HttpClients
+            .builder()
             .callTimeout(timeout)
             .retryOnConnectionFailure(false)
             .addNetworkInterceptor(ImmediateRetryFilter)
