Give every service of the version move test a share of the requests

Cause: a daemon sends requests to the first of equally loaded services, and services without any duration were idle whenever a daemon chose. Change: services take 3 ms, and two callers per daemon and pool overlap.

--- a/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/version/MoveCluster.kt
+++ b/buckthornlever-daemon/src/test/kotlin/io/buckthornlever/daemon/version/MoveCluster.kt
@@ -54,7 +54,7 @@
                         "v2"
                     },
                 ),
-            ).start()
+            ).start().also { it.faults.delayMillis = SERVICE_MILLIS }
         }
     }
     private val daemons = List(3) { Daemon(settings("e$it")) }
@@ -64,7 +64,7 @@
     @Volatile
     private var closed = false
 
-    /** Starts the daemons, waits until they are ready and see each other, and starts one caller per daemon and pool. */
+    /** Starts the daemons, waits until they are ready and see each other, and starts [CALLERS] per daemon and pool. */
     fun start(): MoveCluster {
         val hash = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(DaemonHarness.API_KEY.toByteArray()))
         store.put(ObjectKey.ACCOUNTS.value, TableCodec.encode(AccountTable(accounts = listOf(ClientAccount(AccountId("a"), 1.0, hash)))))
@@ -80,7 +80,8 @@
                     it.effectiveConfiguration.accounts.revision > 0
             }
         }
-        callers = POOLS.flatMap { pool -> daemons.map { daemon -> thread(isDaemon = true) { while (!closed) call(daemon, pool) } } }
+        callers =
+            List(CALLERS) { POOLS.flatMap { pool -> daemons.map { thread(isDaemon = true) { while (!closed) call(it, pool) } } } }.flatten()
         return this
     }
 
@@ -150,5 +151,12 @@
         const val BAD = "rosters"
         val POOLS = listOf(GOOD, BAD)
         val DOMAINS = listOf(FailureDomain("zone-a"), FailureDomain("zone-b"))
+
+        /**
+         * A daemon sends all requests of one caller to the first of equally loaded services. With two callers and services that take
+         * some time, the second service has less load than the first whenever the first runs a request.
+         */
+        private const val CALLERS = 2
+        private const val SERVICE_MILLIS = 3L
     }
 }
