Limit the datagrams that a daemon decodes of one sender

Cause: a daemon verified every datagram that reached its port, so a sender without end took its receiving thread from the others. Measured: the new test fails without the limit (all datagrams are decoded) and passes with it.

--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/connection/PeerRejection.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/connection/PeerRejection.kt
@@ -22,4 +22,7 @@
 
     /** This instance does not support the protocol version of the message. */
     UNSUPPORTED_VERSION,
+
+    /** Its sender has sent more than an instance reads of it in a second; the message was not decoded. */
+    LIMITED,
 }
--- a/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerSockets.kt
+++ b/buckthornlever-peer/src/main/kotlin/io/buckthornlever/peer/process/PeerSockets.kt
@@ -11,6 +11,7 @@
 import io.buckthornlever.core.process.membership.ConnectionEvidence
 import io.buckthornlever.core.process.membership.MemberAddress
 import io.buckthornlever.core.process.membership.PeerMessage
+import io.buckthornlever.core.serving.SenderLimiter
 import io.buckthornlever.peer.connection.FrameStream
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.BoundDatagramSocket
@@ -18,6 +19,7 @@
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.SocketAddress
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
@@ -48,6 +50,8 @@
  *
  * @param host address to bind
  * @param requestedPort port to bind; 0 for any free port
+ * @param senderBytesPerSecond bytes of datagrams that are decoded in a second of each address that has sent an authentic one, and of
+ * all other addresses together
  */
 public class PeerSockets(
     private val host: String,
@@ -55,6 +59,7 @@
     private val codec: PeerCodec,
     private val counters: PeerCounters,
     private val handler: PeerHandler,
+    senderBytesPerSecond: Long = SenderLimiter.DEFAULT_BYTES_PER_SECOND,
 ) : AutoCloseable {
     private class OutgoingDatagram(
         val to: MemberAddress,
@@ -68,6 +73,10 @@
     private val outgoing = Channel<OutgoingDatagram>(SEND_QUEUE_CAPACITY, BufferOverflow.DROP_OLDEST) {
         counters.sendQueueDrops.increment()
     }
+    private val limiter = SenderLimiter<SocketAddress>(senderBytesPerSecond)
+
+    /** Addresses with an allowance of their own, the one that got it first in front. */
+    private val authenticSenders = LinkedHashSet<SocketAddress>()
     private var udp: BoundDatagramSocket? = null
     private var tcp: ServerSocket? = null
 
@@ -166,17 +175,35 @@
 
     private suspend fun receiveDatagrams(socket: BoundDatagramSocket) {
         while (scope.isActive) {
-            val bytes = try {
-                socket.receive().packet.readByteArray()
+            val datagram = try {
+                socket.receive()
             } catch (e: IOException) {
                 continue
             }
+            val bytes = datagram.packet.readByteArray()
             counters.datagramsReceived.increment()
             counters.bytesReceived.add(bytes.size.toLong())
-            codec.decodeDatagram(bytes).onSuccess { handler.onDatagram(it.from, it.message) }
+            if (!limiter.admits(datagram.address, bytes.size, System.nanoTime())) {
+                counters.countRejection(PeerRejection.LIMITED)
+                continue
+            }
+            codec.decodeDatagram(bytes).onSuccess {
+                registerSender(datagram.address)
+                handler.onDatagram(it.from, it.message)
+            }
         }
     }
 
+    /** Gives [address] an allowance of its own; one that loses it to a newer address gets it back with its next authentic datagram. */
+    private fun registerSender(address: SocketAddress) {
+        if (!authenticSenders.add(address)) return
+        limiter.register(address)
+        if (authenticSenders.size <= MAX_SENDERS) return
+        val oldest = authenticSenders.first()
+        authenticSenders.remove(oldest)
+        limiter.unregister(oldest)
+    }
+
     private suspend fun sendQueuedDatagrams(socket: BoundDatagramSocket) {
         for (next in outgoing) {
             val bytes = codec.encodeDatagram(next.to.id, next.message)
@@ -254,6 +281,9 @@
         /** Limits the wait for a handler that is still at work when the sockets close. */
         const val CLOSE_TIMEOUT_MILLIS = 1_000L
 
+        /** More than the 1,200 instances that a list of members is made for, since instances return at other addresses. */
+        const val MAX_SENDERS = 4_096
+
         /** Limits the memory for received frames of up to 1 MB each. */
         const val MAX_CONNECTIONS = 32
     }
--- a/buckthornlever-peer/src/test/kotlin/io/buckthornlever/peer/process/PeerSocketsTest.kt
+++ b/buckthornlever-peer/src/test/kotlin/io/buckthornlever/peer/process/PeerSocketsTest.kt
@@ -8,6 +8,8 @@
 import io.buckthornlever.core.process.membership.ConnectionEvidence
 import io.buckthornlever.core.process.membership.MemberUpdate
 import io.buckthornlever.core.process.membership.PeerMessage
+import java.net.DatagramPacket
+import java.net.DatagramSocket
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -28,7 +30,7 @@
     ) : PeerHandler {
         val counters = PeerCounters()
         val received = LinkedBlockingQueue<PeerMessage>()
-        val sockets = PeerSockets("127.0.0.1", 0, Peers.codec(id, counters = counters), counters, this).also {
+        val sockets = PeerSockets("127.0.0.1", 0, Peers.codec(id, counters = counters), counters, this, SENDER_BYTES_PER_SECOND).also {
             it.open()
             it.start()
         }
@@ -115,7 +117,36 @@
         assertNotNull(a.sockets.request(b.address, BulkMessage.Check, timeout).get())
     }
 
+    /** Guards against datagrams from elsewhere that are all decoded, and against a limit on them that also limits other instances. */
+    @Test
+    fun `datagrams beyond the limit of their sender are not decoded while other instances are heard`() {
+        val a = node("a")
+        val b = node("b")
+        a.sockets.send(b.address, Peers.ping(1))
+        assertEquals(Peers.ping(1), b.received.poll(5, TimeUnit.SECONDS))
+        DatagramSocket().use { foreign ->
+            val packet = DatagramPacket(ByteArray(1_000), 1_000, InetAddress.getLoopbackAddress(), b.sockets.port)
+            while (b.counters.rejections(PeerRejection.LIMITED) == 0L) {
+                check(b.counters.rejections(PeerRejection.UNAUTHENTICATED) < MAX_DECODED) { "all datagrams are decoded" }
+                foreign.send(packet)
+            }
+            // The buffer of the socket may still be full.
+            val heard =
+                (1..5).firstNotNullOfOrNull {
+                    a.sockets.send(b.address, Peers.ping(2))
+                    b.received.poll(1, TimeUnit.SECONDS)
+                }
+            assertEquals(Peers.ping(2), heard)
+        }
+    }
+
     private companion object {
         const val CLOSED_INSTANCES = 50
+
+        /** Low, so that few datagrams exceed it. */
+        const val SENDER_BYTES_PER_SECOND = 100_000L
+
+        /** Far more than the allowance of several seconds. */
+        const val MAX_DECODED = 20_000
     }
 }
