--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/LocalQuotaLimiter.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/LocalQuotaLimiter.kt
@@ -81,13 +81,7 @@
         cost: Double,
         nanos: Long,
         priority: Int = 0,
-    ): QuotaCharge {
-        if (holdings?.accounts?.get(account.id) == null) return QuotaCharge.Exhausted
-        countRequest(account, cost, priority, nanos)
-        val charge = chargeAgain(account, cost, nanos, priority)
-        if (charge !is QuotaCharge.Granted) usageOf(account).onRefused(cost, priority, nanos)
-        return charge
-    }
+    ): QuotaCharge = chargeRequest(account, QuotaCharge.Granted(account.id, cost, nanos, priority))
 
     /** Repeats a [charge] that was refused; the units do not count as requested once more. */
     public fun chargeAgain(
@@ -103,13 +97,7 @@
         cost: Double,
         nanos: Long,
         priority: Int,
-    ): QuotaCharge {
-        if (holdings?.accounts?.get(account.id) == null) return QuotaCharge.Exhausted
-        countRequest(account, cost, priority, nanos)
-        val charge = lendAhead(account, cost, nanos, priority)
-        if (charge !is QuotaCharge.Granted) usageOf(account).onRefused(cost, priority, nanos)
-        return charge
-    }
+    ): QuotaCharge = chargeRequest(account, QuotaCharge.Granted(account.id, cost, nanos, priority, isLent = true))
 
     /** Charges [cost] units more that the instance expects to need; they do not count as requested. */
     public fun lendAhead(
@@ -119,6 +107,18 @@
         priority: Int,
     ): QuotaCharge = tryCharge(account, QuotaCharge.Granted(account.id, cost, nanos, priority, isLent = true))
 
+    /** Tries [charge] for a new request, which counts as requested, and as refused if it is not granted. */
+    private fun chargeRequest(
+        account: ServedAccount,
+        charge: QuotaCharge.Granted,
+    ): QuotaCharge {
+        if (holdings?.accounts?.get(account.id) == null) return QuotaCharge.Exhausted
+        countRequest(account, charge.cost, charge.priority, charge.nanos)
+        val outcome = tryCharge(account, charge)
+        if (outcome !is QuotaCharge.Granted) usageOf(account).onRefused(charge.cost, charge.priority, charge.nanos)
+        return outcome
+    }
+
     private fun tryCharge(
         account: ServedAccount,
         charge: QuotaCharge.Granted,
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/BodyBuffer.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/BodyBuffer.kt
@@ -5,7 +5,8 @@
 
 /**
  * Body of a request while it arrives. It takes parts of moderate size instead of one growing array, so that what it holds stays close
- * to what has arrived, also when a caller sends single bytes.
+ * to what has arrived, also when a caller sends single bytes. The limit on the size of a request and the memory budget of all callers
+ * bound it.
  */
 internal class BodyBuffer {
     private val fullParts = ArrayDeque<ByteArray>()
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/HttpCallClient.kt
@@ -76,6 +76,8 @@
         private var connection: OutboundConnection? = null
         private var status = 0
         private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
+
+        /** At most [maxResponseBytes]. */
         private val body = ByteArrayOutputStream()
         private var finished = false
         var onDone: () -> Unit = {}
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -50,6 +50,8 @@
     private var unrelayedBytes = 0
     private var isFinished = false
     private var promptTokensReleased = false
+
+    /** Body of a response that is not relayed yet; at most [MAX_BUFFERED_BYTES] and one read more. */
     private var body = ByteArrayOutputStream()
 
     /** A successful response is relayed as it arrives. */
