--- a/review/standins-2/src/Main.java
+++ b/review/standins-2/src/Main.java
@@ -10,6 +10,7 @@
         Util.thread(() -> {
             Util.sleep(MAX_MILLIS);
             System.out.println("the case takes too long");
+            Util.flushRecord();
             System.exit(2);
         });
         int result;
@@ -19,6 +20,7 @@
             e.printStackTrace();
             result = 2;
         }
+        Util.flushRecord();
         System.exit(result);
     }
 
@@ -26,7 +28,7 @@
         return switch (name) {
             case "revoked-key" -> RevokedKeyCase.play(folder);
             case "late-beat" -> LateBeatCase.play(folder);
-            case "hot-lookup" -> HotLookupCase.play(folder);
+            case "head-limit" -> HeadLimitCase.play(folder);
             case "second-answer" -> SecondAnswerCase.play(folder);
             case "prompt-part" -> PromptPartCase.play(folder);
             default -> throw new IllegalArgumentException(name);
--- a/review/standins-2/src/Util.java
+++ b/review/standins-2/src/Util.java
@@ -47,6 +47,10 @@
         if (record != null) record.println(String.format("%7d ms  ", now()) + String.format(format, arguments));
     }
 
+    static synchronized void flushRecord() {
+        if (record != null) record.flush();
+    }
+
     /** Adds a line to the record and to the standard output. */
     static synchronized void say(String format, Object... arguments) {
         record(format, arguments);
