--- a/review/standins-2/src/SecondAnswerCase.java
+++ b/review/standins-2/src/SecondAnswerCase.java
@@ -14,8 +14,8 @@
 final class SecondAnswerCase {
     /** Length of a body as on the users' sheets, and of a larger one. */
     private static final int[] BODY_BYTES = {800, 150_000};
-    private static final int GARBLED_SERVERS = 3;
-    private static final int GARBLE_EVERY = 34;
+    private static final int GARBLED_SERVERS = 2;
+    private static final int GARBLE_EVERY = 52;
     private static final int GARBLE_MILLIS = 5_000;
 
     private static final Random random = new Random(7);
