Keep the newest registration of an upstream when an older one is written late

Cause: the store executes a call that got no response seconds later. The entry then goes back to what it was before under a new revision, and only revisions were compared. `sequence`, which tells the order, was not decoded.

Change: registrations of one upstream are ordered by the start of its process and its sequence (LateRegistrations). A process that starts again under its id has a later start and is used at once.

--- a/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/DiscoveredUpstream.kt
+++ b/buckthornlever-api/src/main/kotlin/io/buckthornlever/api/serving/DiscoveredUpstream.kt
@@ -18,6 +18,7 @@
  * @property coldFor remaining warm-up time, during which it can take only little load; zero when warm
  * @property reclaimable true when the cloud may reclaim it at short notice
  * @property bornMillis start of its process in milliseconds since the epoch; null if it does not say
+ * @property sequence number of this registration, which rises with each one of the same process; null if it does not say
  */
 @Serializable
 public data class DiscoveredUpstream(
@@ -32,4 +33,5 @@
     val coldFor: Duration,
     val reclaimable: Boolean,
     val bornMillis: Long? = null,
+    val sequence: Long? = null,
 )
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/UpstreamBalancer.kt
@@ -25,6 +25,7 @@
     private val entries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val formerEntries = LinkedHashMap<UpstreamId, UpstreamEntry>()
     private val departed = LinkedHashMap<UpstreamId, DiscoveredUpstream>()
+    private val lateRegistrations = LateRegistrations()
     private var restoredNanos = Long.MIN_VALUE / 2
     private val coldLimiter = ColdRateLimiter(self, clock.monotonicNanos())
     private val estimator = ExpectedTimeEstimator()
@@ -66,11 +67,32 @@
         restoredNanos = nanos
     }
 
-    /** Adds or updates a registered upstream. With another address or service, it starts without load and failure history. */
+    /**
+     * Adds or updates a registered upstream and returns true. With another address or service, it starts without load and failure history.
+     * Returns false for a registration that was written before the one known, which stays in force, see [registerStanding].
+     */
     public fun onRegistered(
         upstream: DiscoveredUpstream,
         nanos: Long,
+    ): Boolean {
+        val newest = entries[upstream.id]?.upstream ?: departed[upstream.id]
+        if (newest != null && lateRegistrations.isLate(upstream, newest)) {
+            lateRegistrations.add(upstream, nanos)
+            return false
+        }
+        register(upstream, nanos)
+        return true
+    }
+
+    /** Registers the upstreams whose late registration still stands at [nanos], so that it is their newest one, and returns their ids. */
+    public fun registerStanding(nanos: Long): List<UpstreamId> =
+        lateRegistrations.takeStanding(nanos).onEach { register(it, nanos) }.map { it.id }
+
+    private fun register(
+        upstream: DiscoveredUpstream,
+        nanos: Long,
     ) {
+        lateRegistrations.remove(upstream.id)
         val known = entries[upstream.id]?.takeUnless { isDifferentProcess(it.upstream, upstream) }
         val entry = known ?: formerEntry(upstream) ?: UpstreamEntry(upstream, nanos)
         if (entries.put(upstream.id, entry) !== entry) index.onChanged()
@@ -78,7 +100,8 @@
         val mayBeOutdated = nanos - restoredNanos <= RESTORE_TIME.toNanos()
         val leaving = upstream.leaving || (mayBeOutdated && (entry.announcedLeaving || earlier?.leaving == true))
         val registration = upstream.copy(leaving = leaving)
-        if (registration.copy(coldFor = entry.upstream.coldFor) != entry.upstream) index.onChanged()
+        val isSame = registration.copy(coldFor = entry.upstream.coldFor, sequence = entry.upstream.sequence) == entry.upstream
+        if (!isSame) index.onChanged()
         entry.upstream = registration
         entry.lapsedAt = null
         entry.announcedLeaving = leaving
@@ -89,6 +112,7 @@
 
     /** Removes the upstream [id], whose registration is gone. */
     public fun onUnregistered(id: UpstreamId) {
+        lateRegistrations.remove(id)
         entries.remove(id)?.let {
             rememberEntry(it)
             rememberDeparted(it.upstream.copy(leaving = it.announcedLeaving))
@@ -106,6 +130,7 @@
         id: UpstreamId,
         nanos: Long,
     ) {
+        lateRegistrations.remove(id)
         val entry = entries[id] ?: return
         if (entry.announcedLeaving || entry.isLeaving) onUnregistered(id) else entry.lapsedAt = entry.lapsedAt ?: nanos
     }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -5,6 +5,7 @@
 import io.buckthornlever.api.process.FailureDomain
 import io.buckthornlever.api.process.InstanceId
 import io.buckthornlever.api.process.ObjectVersion
+import io.buckthornlever.api.serving.DiscoveredUpstream
 import io.buckthornlever.api.serving.InstanceRecord
 import io.buckthornlever.api.serving.SingletonDuties
 import io.buckthornlever.api.serving.StateFailure
@@ -329,6 +330,7 @@
         if (!lapseGrace.isActive(now)) {
             balancer.removeLapsedBefore(now).forEach { log.write(GatewayEvent.UPSTREAM_GONE, "upstream" to it) }
         }
+        balancer.registerStanding(now).forEach { log.write(GatewayEvent.UPSTREAM_REGISTERED, "upstream" to it, "standing" to true) }
         updateMembers()
         ceilingStore.update()
         suspectParts.tick()
@@ -505,26 +507,17 @@
             kind: StateKind,
             changed: StateObject,
         ) {
-            if (changed.value !is StateValue.Table) relayLogs.getValue(kind).onChanged(changed)
-            when (val value = changed.value) {
+            val value = changed.value
+            if (value is StateValue.Table) return onTable(changed, value)
+            if (value is StateValue.Upstream && !onRegistered(value.upstream)) return
+            relayLogs.getValue(kind).onChanged(changed)
+            when (value) {
                 null -> onUnreadable(kind, changed)
-                is StateValue.Table -> onTable(changed, value)
-                is StateValue.Upstream -> {
-                    balancer.onRegistered(value.upstream, clock.monotonicNanos())
-                    log.write(
-                        GatewayEvent.UPSTREAM_REGISTERED,
-                        "upstream" to value.upstream.id,
-                        "service" to value.upstream.service,
-                        "domain" to value.upstream.domain,
-                        "leaving" to value.upstream.leaving,
-                        "coldMillis" to value.upstream.coldFor.toMillis(),
-                    )
-                    context.queues.retry(value.upstream.service)
-                }
                 is StateValue.Evacuation -> onEvacuation(FailureDomain(changed.name), true)
                 is StateValue.Instance -> peers.addPeer(value.record)
                 is StateValue.Quota -> quotaAllocations.update(changed.revision, value.holdings)
                 is StateValue.Order -> versionOrderRunner.onOrder(value)
+                is StateValue.Table, is StateValue.Upstream -> Unit
                 is StateValue.Lease, is StateValue.Usage, is StateValue.Ceilings, is StateValue.SuspectParts -> Unit
             }
         }
@@ -627,6 +620,22 @@
         log.write(GatewayEvent.TABLE_IN_FORCE, "version" to value.table.version, "routes" to value.table.routes.size)
     }
 
+    /** Returns false if [upstream] is not used, since a newer registration is known; followers of this relay keep that one, too. */
+    private fun onRegistered(upstream: DiscoveredUpstream): Boolean {
+        val isUsed = balancer.onRegistered(upstream, clock.monotonicNanos())
+        log.write(
+            if (isUsed) GatewayEvent.UPSTREAM_REGISTERED else GatewayEvent.LATE_REGISTRATION,
+            "upstream" to upstream.id,
+            "service" to upstream.service,
+            "domain" to upstream.domain,
+            "leaving" to upstream.leaving,
+            "coldMillis" to upstream.coldFor.toMillis(),
+            "sequence" to upstream.sequence,
+        )
+        if (isUsed) context.queues.retry(upstream.service)
+        return isUsed
+    }
+
     private fun onUpstreamDeleted(id: UpstreamId) {
         val now = clock.monotonicNanos()
         if (lapseGrace.isActive(now)) {
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -36,6 +36,7 @@
     UPSTREAM_LEAVES("BL-2213", Level.INFO, "upstream says in a response that it leaves"),
     UPSTREAM_PAUSED("BL-2214", Level.INFO, "upstream turns away and wants no requests for a time"),
     SUSPECT_PARTS_NOT_RECORDED("BL-2215", Level.WARN, "evidence on prompt parts that crash upstreams could not be read or recorded"),
+    LATE_REGISTRATION("BL-2216", Level.INFO, "registration of an upstream is older than the one known and is not used"),
     REQUEST_REFUSED("BL-2301", Level.INFO, "request refused before it was placed"),
     REQUEST_FINISHED("BL-2302", Level.INFO, "request finished"),
     ATTEMPT_ENDED("BL-2303", Level.INFO, "attempt ended without a usable answer"),
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayFormat.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayFormat.kt
@@ -36,7 +36,11 @@
         change.copy(changed = StateObject(change.changed.name, convert(change.changed.revision), convert(change.changed.value)))
 
     private fun convert(value: StateValue?): StateValue? =
-        if (value is StateValue.Instance) StateValue.Instance(value.record.copy(protocol = PeerProtocol.UNSTATED)) else value
+        when (value) {
+            is StateValue.Instance -> StateValue.Instance(value.record.copy(protocol = PeerProtocol.UNSTATED))
+            is StateValue.Upstream -> StateValue.Upstream(value.upstream.copy(sequence = null))
+            else -> value
+        }
 
     private fun convert(revision: Long): Long = if (this == WITHOUT_ERA) StoreRevision.numberOf(revision) else revision
 
--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelayFormatTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelayFormatTest.kt
@@ -1,12 +1,16 @@
 package io.buckthornlever.gateway.process
 
 import com.github.michaelbull.result.get
+import io.buckthornlever.api.connection.UpstreamId
 import io.buckthornlever.api.process.FailureDomain
+import io.buckthornlever.api.serving.DiscoveredUpstream
 import io.buckthornlever.api.serving.InstanceRecord
 import io.buckthornlever.api.serving.StateChange
 import io.buckthornlever.api.serving.StateObject
 import io.buckthornlever.api.serving.StateValue
 import io.buckthornlever.api.serving.StoreRevision
+import io.buckthornlever.api.version.VersionLabel
+import java.time.Duration
 import kotlin.test.Test
 import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
@@ -62,6 +66,18 @@
         assertEquals<List<RelayResponse?>>(listOf(response(0, PeerProtocol.UNSTATED), response(1, PeerProtocol.UNSTATED)), decoded)
     }
 
+    // Guards against followers of older releases that reject registrations with a field that they do not know.
+    @Test
+    fun `only a follower that states a version gets the sequence of a registration`() {
+        val upstream = UPSTREAM.copy(sequence = 5)
+        val change = StateChange(StateObject("u1", 12, StateValue.Upstream(upstream)), false)
+        val complete = RelayResponse(listOf(change), 19, -5)
+        assertEquals(complete.changes, RelayFormat.VERSIONED.convert(complete).changes)
+        for (format in listOf(RelayFormat.WITH_ERA, RelayFormat.WITHOUT_ERA)) {
+            assertEquals(StateValue.Upstream(UPSTREAM), format.convert(complete).changes.single().changed.value)
+        }
+    }
+
     private fun encode(response: RelayResponse): ByteArray = CborCodec.encode(RelayResponse.serializer(), response)
 
     private fun response(
@@ -72,4 +88,21 @@
         val change = StateChange(StateObject("i2", StoreRevision.of(era, 12), StateValue.Instance(record)), false)
         return RelayResponse(listOf(change), StoreRevision.of(era, 19), -5)
     }
+
+    private companion object {
+        val UPSTREAM =
+            DiscoveredUpstream(
+                id = UpstreamId("u1"),
+                service = "s",
+                host = "127.0.0.1",
+                port = 9,
+                domain = FailureDomain("a"),
+                version = VersionLabel("v1"),
+                slots = 4,
+                leaving = false,
+                coldFor = Duration.ZERO,
+                reclaimable = false,
+                bornMillis = 1,
+            )
+    }
 }
