Ask other instances for the newest table before a restored store confirms one

Cause: an instance that starts takes the table of the store as confirmed. The other instances keep the newer table that the copy lacks, but are not asked; a relay has it under a revision that the new instance has read already.

Change: PeerTableReader asks up to three instances for a higher version at the start of a process and after each restore. Until then what the store says confirms no table, at this instance and at its followers. Without an answer the store's table counts after at most one second.

--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayLog.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/RelayLog.kt
@@ -2,6 +2,7 @@
 
 import io.buckthornlever.api.serving.StateChange
 import io.buckthornlever.api.serving.StateObject
+import io.buckthornlever.api.serving.StateValue
 import io.buckthornlever.api.serving.StoreRevision
 import java.time.Duration
 
@@ -37,6 +38,9 @@
         pending[item.name] = StateChange(item, false)
     }
 
+    /** Records that [value] is in force instead of the stored content of all objects; the store may lack it. */
+    public fun onReplaced(value: StateValue): Unit = objects.values.toList().forEach { onChanged(it.copy(value = value)) }
+
     /** Records that the object [name] was deleted. */
     public fun onDeleted(name: String) {
         objects.remove(name)
--- a/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/ServingTableCache.kt
+++ b/buckthornlever-core/src/main/kotlin/io/buckthornlever/core/serving/ServingTableCache.kt
@@ -37,6 +37,9 @@
         pausedAt = nanos
     }
 
+    /** The table in force if the store has ever confirmed it since the last pause, else null. */
+    public fun confirmedTable(): ServingTable? = table.takeIf { confirmedAt != NEVER }
+
     /** Age of the last confirmation; null when the table is unconfirmed. */
     public fun age(nanos: Long): Duration? = if (confirmedAt == NEVER) null else Duration.ofNanos(nanos - confirmedAt)
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/Gateway.kt
@@ -7,6 +7,7 @@
 import io.buckthornlever.api.process.ObjectVersion
 import io.buckthornlever.api.serving.DiscoveredUpstream
 import io.buckthornlever.api.serving.InstanceRecord
+import io.buckthornlever.api.serving.ServingTable
 import io.buckthornlever.api.serving.SingletonDuties
 import io.buckthornlever.api.serving.StateFailure
 import io.buckthornlever.api.serving.StateKind
@@ -128,8 +129,8 @@
     private val callerListener = CallerListener(loop, admission, clock, limiters.callers)
     private val probeListener = CallerListener(loop, ProbeService(::isReady, metrics), clock, limiters.probes)
     private val ownRecord = settings.registration
-    private val relayLogs = FOLLOWED_KINDS.associateWith { RelayLog(RelayWaits.maxAge(it)) }
-    private val relayService = RelayService(loop, clock, relayLogs, limiters.memory::hasRoomFor, ::checkPause)
+    private val relayLogs = FollowedKinds.ALL.associateWith { RelayLog(RelayWaits.maxAge(it)) }
+    private val relayService = RelayService(loop, clock, relayLogs, limiters.memory::hasRoomFor, tableCache::confirmedTable, ::checkPause)
     private val relayListener = CallerListener(loop, relayService, clock, limiters.relays)
     private val storeCalls = StoreCallCounter(metrics)
     private val store: StateStore =
@@ -143,6 +144,7 @@
             clock,
             log,
         )
+    private val peerTableReader = PeerTableReader(peers::liveRecords, loop, clock, log, { tableCache.table?.version }, ::onNewerTable)
     private val quotaAllocations = QuotaAllocationStore(settings, ownRecord, store, clock, localQuotaLimiter, log)
     private val ceilingStore =
         QuotaCeilingStore(
@@ -208,7 +210,11 @@
         relayListener.listen(settings.peerAddress)
         loop.execute {
             peers.start(settings.peerAddress)
-            feedWaits().forEach { (kind, wait) -> StateFeed(kind, wait, lostGrace(kind), store, loop, clock, FeedListener(kind)).start() }
+            FollowedKinds.ALL.forEach { kind ->
+                val wait = FollowedKinds.watchWait(kind, settings.tableAgeLimits)
+                StateFeed(kind, wait, FollowedKinds.lostGrace(kind), store, loop, clock, FeedListener(kind)).start()
+            }
+            if (settings.firstStart) peerTableReader.skip()
             quotaAllocations.read {
                 ceilingStore.onAllocationRead()
                 releaseWaiting()
@@ -219,6 +225,12 @@
             tick()
             loop.schedule(log::open, LOG_OPEN_DELAY_MILLIS, TimeUnit.MILLISECONDS)
         }
+        registerGauges()
+        log.write(GatewayEvent.STARTED, "callers" to settings.callerAddress.host + ":" + port, "domain" to settings.domain)
+        return port
+    }
+
+    private fun registerGauges() {
         metrics.registerGauge("buckthornlever_open_connections", "Open connections of callers") {
             callerListener.openConnections.toDouble()
         }
@@ -257,8 +269,6 @@
         metrics.registerGauge("buckthornlever_blocked_prompt_parts", "Prompt parts blocked since runs with them crashed upstreams") {
             poisonParts.blocked.size.toDouble()
         }
-        log.write(GatewayEvent.STARTED, "callers" to settings.callerAddress.host + ":" + port, "domain" to settings.domain)
-        return port
     }
 
     /**
@@ -306,7 +316,8 @@
     }
 
     /** True once what earlier processes have left in the store is known, or the store could not be reached for it. */
-    private fun isStateRestored(): Boolean = quotaAllocations.isKnown && ceilingStore.isSettled && suspectPartStore.isSettled
+    private fun isStateRestored(): Boolean =
+        quotaAllocations.isKnown && ceilingStore.isSettled && suspectPartStore.isSettled && peerTableReader.hasAsked
 
     private fun isReady(): Boolean {
         val ready = stoppingSince == null && tableCache.isReady(clock.monotonicNanos())
@@ -358,6 +369,7 @@
 
     /** What this instance has written since the copy was taken is written again, and what it knows outlasts what the copy has. */
     private fun onStoreRestored() {
+        peerTableReader.onStoreRestored()
         balancer.onStoreRestored(clock.monotonicNanos())
         lapseGrace.onStoreRestored(clock.monotonicNanos())
         dutyRunner.onStoreRestored()
@@ -377,25 +389,6 @@
         log.write(GatewayEvent.PEERS_CHANGED, "live" to names.size + 1)
     }
 
-    private fun feedWaits(): Map<StateKind, Duration> =
-        mapOf(
-            StateKind.SERVING_TABLE to Duration.ofMillis((settings.tableAgeLimits.readiness.toMillis() * CONFIRMATION_FRACTION).toLong()),
-            StateKind.UPSTREAMS to UPSTREAMS_WATCH_WAIT,
-            StateKind.EVACUATIONS to EVACUATIONS_WATCH_WAIT,
-            StateKind.VERSION_ORDERS to SLOW_WATCH_WAIT,
-            StateKind.INSTANCES to SLOW_WATCH_WAIT,
-            StateKind.QUOTA_HOLDINGS to SLOW_WATCH_WAIT,
-        )
-
-    private fun lostGrace(kind: StateKind): Duration =
-        when (kind) {
-            // Their registrations lapse, see [LapseGracePeriod].
-            StateKind.UPSTREAMS -> Duration.ZERO
-            // Only this system writes them.
-            StateKind.QUOTA_HOLDINGS -> Duration.ZERO
-            else -> LOST_GRACE
-        }
-
     /** Tells the candidates for the duty lease that this instance has given it back, with what only its holder knows. */
     private fun announceRelease(version: ObjectVersion): Unit = peers.sendToCandidates(holderStatus(version, Duration.ZERO, true))
 
@@ -571,17 +564,28 @@
             revision: Long,
         ) {
             if (followedKind == StateKind.SERVING_TABLE) {
-                tableCache.onConfirmed(asOfNanos)
-                releaseWaiting()
+                return peerTableReader.whenSettled {
+                    tableCache.onConfirmed(asOfNanos)
+                    releaseWaiting()
+                    updateRelayLog(asOfNanos, revision)
+                }
             }
             if (followedKind == StateKind.INSTANCES) {
                 areInstancesListed = true
                 updateMembers()
+                peerTableReader.onMembersListed()
             }
             if (followedKind == StateKind.QUOTA_HOLDINGS) {
                 quotaAllocations.onConfirmed(asOfNanos)
                 releaseWaiting()
             }
+            updateRelayLog(asOfNanos, revision)
+        }
+
+        private fun updateRelayLog(
+            asOfNanos: Long,
+            revision: Long,
+        ) {
             if (relayLogs.getValue(followedKind).onSynchronised(revision, asOfNanos)) relayService.onChanged(followedKind)
         }
 
@@ -615,9 +619,19 @@
         val isNewer = tableCache.updateIfNewer(value.table)
         // A store that was restored from a copy may have an older table for a moment; followers get the one in force.
         relayLogs.getValue(StateKind.SERVING_TABLE).onChanged(changed.copy(value = tableCache.table?.let(StateValue::Table)))
-        if (!isNewer) return
-        balancer.updateTable(value.table)
-        log.write(GatewayEvent.TABLE_IN_FORCE, "version" to value.table.version, "routes" to value.table.routes.size)
+        if (isNewer) onTableInForce(value.table)
+    }
+
+    /** Another instance has [table], which the store may have lost; followers of this relay get it, too. */
+    private fun onNewerTable(table: ServingTable) {
+        if (!tableCache.updateIfNewer(table)) return
+        relayLogs.getValue(StateKind.SERVING_TABLE).onReplaced(StateValue.Table(table))
+        onTableInForce(table)
+    }
+
+    private fun onTableInForce(table: ServingTable) {
+        balancer.updateTable(table)
+        log.write(GatewayEvent.TABLE_IN_FORCE, "version" to table.version, "routes" to table.routes.size)
     }
 
     /** Returns false if [upstream] is not used, since a newer registration is known; followers of this relay keep that one, too. */
@@ -663,16 +677,6 @@
     }
 
     private companion object {
-        /** Kinds of objects that every instance follows and can relay. */
-        val FOLLOWED_KINDS =
-            listOf(
-                StateKind.SERVING_TABLE,
-                StateKind.UPSTREAMS,
-                StateKind.EVACUATIONS,
-                StateKind.VERSION_ORDERS,
-                StateKind.INSTANCES,
-                StateKind.QUOTA_HOLDINGS,
-            )
         const val TICK_MILLIS = 200L
         const val NANOS_PER_SECOND = 1e9
 
@@ -698,16 +702,5 @@
 
         /** Several round trips between failure domains; a lost TCP handshake packet counts as a failed connection. */
         val UPSTREAM_CONNECT_TIMEOUT: Duration = Duration.ofMillis(400)
-
-        /** Watch wait as a fraction of the age beyond which the instance is not ready; one lost response must not make it unready. */
-        const val CONFIRMATION_FRACTION = 0.4
-
-        /** Waits of watches; shorter for kinds where a silent connection must be detected faster. */
-        val UPSTREAMS_WATCH_WAIT: Duration = Duration.ofMillis(1_500)
-        val EVACUATIONS_WATCH_WAIT: Duration = Duration.ofSeconds(6)
-        val SLOW_WATCH_WAIT: Duration = Duration.ofSeconds(6)
-
-        /** Time for operators and instances to write again what a restored store has lost. */
-        val LOST_GRACE: Duration = Duration.ofSeconds(5)
     }
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/GatewayEvent.kt
@@ -21,6 +21,7 @@
     RELAY_FAILED("BL-2107", Level.WARN, "followed instance gave no usable answer"),
     STORE_RESTORED("BL-2108", Level.WARN, "store was restored from a copy"),
     STORE_CALLS_COUNTED("BL-2109", Level.INFO, "calls to the store counted"),
+    PEERS_ASKED_FOR_TABLE("BL-2110", Level.INFO, "other instances asked for a newer serving table"),
     UPSTREAM_REGISTERED("BL-2201", Level.INFO, "upstream registered or changed"),
     UPSTREAM_GONE("BL-2202", Level.INFO, "upstream is gone"),
     UPSTREAM_LAPSED("BL-2203", Level.INFO, "upstream's registration lapsed while the store was away"),
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayPaths.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayPaths.kt
@@ -13,5 +13,8 @@
     /** Version of [PeerProtocol] that the asking instance knows; absent from releases that state none. */
     const val VERSION = "version"
 
+    /** Serving table in force if its version is above the stated one, whether or not the store has confirmed it recently. */
+    const val NEWER_TABLE = "/table"
+
     fun of(kind: StateKind): String = "/state/" + kind.name.lowercase().replace('_', '-')
 }
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayService.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/RelayService.kt
@@ -2,7 +2,11 @@
 
 import io.buckthornlever.api.process.Clock
 import io.buckthornlever.api.serving.CallerLimits
+import io.buckthornlever.api.serving.ServingTable
+import io.buckthornlever.api.serving.StateChange
 import io.buckthornlever.api.serving.StateKind
+import io.buckthornlever.api.serving.StateObject
+import io.buckthornlever.api.serving.StateValue
 import io.buckthornlever.core.serving.RelayLog
 import io.buckthornlever.core.serving.RelayReply
 import io.buckthornlever.gateway.connection.CallerExchange
@@ -21,6 +25,8 @@
  * is held until there are some, for at most the wait that it states (long polling).
  *
  * @param hasRoomFor returns true if a response of the given size may be held until the other instance has read it
+ * @param confirmedTable returns the serving table in force; null if the store has not confirmed any since this process started or was
+ * paused
  * @param checkPause called on the arrival of each request, so that a suspension of the host is detected before stale state is served
  */
 internal class RelayService(
@@ -28,6 +34,7 @@
     private val clock: Clock,
     private val logs: Map<StateKind, RelayLog>,
     private val hasRoomFor: (Int) -> Boolean,
+    private val confirmedTable: () -> ServingTable? = { null },
     private val checkPause: () -> Unit,
 ) : CallerService {
     private val pendingPolls = HashMap<StateKind, LinkedHashSet<PendingPoll>>()
@@ -42,6 +49,7 @@
     ): CallerExchange {
         checkPause()
         val uri = QueryStringDecoder(request.head.uri())
+        if (uri.path() == RelayPaths.NEWER_TABLE) return serveTable(uri.longParameter(RelayPaths.SINCE), reply)
         val kind = StateKind.entries.firstOrNull { RelayPaths.of(it) == uri.path() && it in logs }
         if (kind == null) {
             reply.respond(HttpResponseStatus.NOT_FOUND, DefaultHttpHeaders(), EMPTY)
@@ -65,6 +73,26 @@
         return poll
     }
 
+    private fun serveTable(
+        since: Long?,
+        reply: CallerReply,
+    ): CallerExchange {
+        val table = confirmedTable()
+        val changes = listOf(StateChange(StateObject(TABLE_NAME, 0, table?.let(StateValue::Table)), false))
+        val isNewer = table != null && since != null && table.version > since
+        val body = if (isNewer) CborCodec.encode(RelayResponse.serializer(), RelayResponse(changes, 0, 0, PeerProtocol.CURRENT)) else EMPTY
+        val status =
+            when {
+                table == null || !hasRoom(body) -> HttpResponseStatus.SERVICE_UNAVAILABLE
+                isNewer -> HttpResponseStatus.OK
+                else -> HttpResponseStatus.NO_CONTENT
+            }
+        reply.respond(status, DefaultHttpHeaders(), if (status == HttpResponseStatus.OK) body else EMPTY)
+        return AnsweredExchange
+    }
+
+    private fun hasRoom(body: ByteArray): Boolean = body.size <= SMALL_BYTES || hasRoomFor(body.size)
+
     /** Answers the pending polls of [kind], whose log has new changes. */
     fun onChanged(kind: StateKind) {
         pendingPolls[kind]?.toList()?.forEach { it.respond(false) }
@@ -97,7 +125,7 @@
                     val response = RelayResponse(logReply.changes, logReply.revision, logReply.asOfNanos - arrivedNanos)
                     val body = CborCodec.encode(RelayResponse.serializer(), format.convert(response))
                     // Otherwise the other instance asks the next relay, or the store.
-                    val hasRoom = body.size <= SMALL_BYTES || hasRoomFor(body.size)
+                    val hasRoom = hasRoom(body)
                     val status = if (hasRoom) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE
                     reply.respond(status, DefaultHttpHeaders(), if (hasRoom) body else EMPTY)
                 }
@@ -133,6 +161,7 @@
 
         /** Response that is sent even while memory is short; usual changes are smaller. */
         const val SMALL_BYTES = 16 * 1_024
+        const val TABLE_NAME = "main"
         val EMPTY = ByteArray(0)
     }
 }
