Count crashes at the beginning of the output against prompt parts

Cause: a crash counted only if the run had no output, and any byte of a stream, or the head of another response, counted as output.

Change: the proof that a request is sound is a whole response, 64 KiB of one, or an event 250 ms after the first. A connection that is lost before counts as a crash. A stream without length that ends within or before its first event counts as lost, and is no longer served as an empty one.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/Attempt.kt
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 import java.io.ByteArrayOutputStream
 import java.time.Duration
 
@@ -72,9 +73,19 @@
     var sentMillis: Long = 0
         private set
 
-    /** True once the upstream has sent part of the output: the body of a stream, or the head of another response. */
-    var hasOutput: Boolean = false
-        private set
+    /** Time of the first complete event of a stream; null before it. */
+    private var firstEventNanos: Long? = null
+
+    /**
+     * True once the output shows that the upstream survives the request. One that crashes on a request does so as it begins to respond:
+     * after the head, within the first event, or shortly after it.
+     */
+    val hasProvenOutput: Boolean
+        get() = isRelayingLargeBody || firstEventNanos?.let { context.clock.monotonicNanos() - it >= PROOF_TIME.toNanos() } ?: false
+
+    /** True if the end of the response is the end of its connection, which is what a crash of the upstream looks like, too. */
+    private val endsWithConnection: Boolean
+        get() = response?.let { !HttpUtil.isContentLengthSet(it) && !HttpUtil.isTransferEncodingChunked(it) } ?: false
 
     /** Status of the upstream's response; null before there is one. */
     val status: Int? get() = response?.status()?.code()
@@ -127,6 +138,22 @@
         requestId?.let { connection?.exclude(it) }
     }
 
+    /**
+     * Why the stream that has ended is not complete; null if it is.
+     *
+     * @param isInsideEvent true if it has ended within an event
+     * @param isResumed true if it follows earlier events, after which there may be none left
+     */
+    fun incompleteEnd(
+        isInsideEvent: Boolean,
+        isResumed: Boolean,
+    ): AttemptEnd.Broken? =
+        when {
+            isInsideEvent -> AttemptEnd.Broken("stream ended inside an event", endsWithConnection)
+            endsWithConnection && firstEventNanos == null && !isResumed -> AttemptEnd.Broken("stream ended before the first event", true)
+            else -> null
+        }
+
     fun setReading(enabled: Boolean) {
         connection?.setAutoRead(enabled)
     }
@@ -162,7 +189,6 @@
             isRelayingStream = true
             listener.onStreamHead(this, response)
         } else {
-            hasOutput = true
             listener.onExecutionStarted(this)
         }
         return HeadDecision.ACCEPT
@@ -213,8 +239,7 @@
     override fun onData(bytes: ByteArray) {
         if (isFinished) return
         if (!isRelayingStream) return bufferBody(bytes)
-        if (!hasOutput) {
-            hasOutput = true
+        if (outputNanos == null) {
             recordFirstOutput(context.clock.monotonicNanos())
             releasePromptTokens()
             listener.onExecutionStarted(this)
@@ -232,8 +257,13 @@
         if (!wasCold) context.balancer.onFirstOutput(entry, query, basis, time, nanos)
     }
 
-    /** Records progress: part of a body has arrived, or a complete event has been relayed. */
-    fun recordProgress() {
+    /** Records that a complete event of a stream has been relayed. */
+    fun recordEvent() {
+        recordProgress()
+        firstEventNanos = firstEventNanos ?: progressNanos
+    }
+
+    private fun recordProgress() {
         unrelayedBytes = 0
         progressNanos = context.clock.monotonicNanos()
     }
@@ -375,6 +405,9 @@
         /** Incomplete event from which on its size counts as held for the caller; usual ones arrive whole. */
         const val REPORTED_EVENT_BYTES = 4 * 1_024
 
+        /** Time after the first event within which a crash still counts as one at the beginning of the output. */
+        val PROOF_TIME: Duration = Duration.ofMillis(250)
+
         /** Bytes of a body that count as progress. */
         const val PROGRESS_BYTES = 512
 
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/ProxiedRequest.kt
@@ -44,7 +44,7 @@
     private val fingerprint: Long,
 ) : CallerExchange,
     AttemptListener {
-    private val sharedPartIds = head.sharedPartIds
+    private val partEvidence = PromptPartEvidence(context.poison.parts, head.sharedPartIds, context.clock)
     private val priority = RequestPriority.of(route, account)
     private val triedUpstreams = HashSet<UpstreamId>()
     private val placements = RequestPlacement(context, head, service, triedUpstreams, request.arrivedNanos + route.targetLatency.toNanos())
@@ -67,8 +67,7 @@
     private var runs = 0
     private var sends = 0
     private var isUsageCounted = false
-    private var isOutputLate = false
-    private var isOutputRecorded = false
+    private var isOutputLate: Boolean? = null
     private var isHeadSent = false
     private var isLarge = false
     private var streamHead: HttpResponse? = null
@@ -206,8 +205,9 @@
             recordOutput()
             sendHead()
             reply.write(event.bytes)
-            attempt.recordProgress()
+            attempt.recordEvent()
         }
+        if (attempt.hasProvenOutput) partEvidence.onProven()
         if (splitter.pendingBytes > MAX_EVENT_BYTES) attempt.failMalformed("event exceeds $MAX_EVENT_BYTES bytes")
     }
 
@@ -218,6 +218,7 @@
         isHeadSent = true
         isLarge = true
         recordOutput()
+        partEvidence.onProven()
         reply.start(response.status(), context.protocol.callerHeaders(response))
     }
 
@@ -233,7 +234,8 @@
     }
 
     override fun onStreamCompleted(attempt: Attempt) {
-        if (splitter.isInsideEvent) return onFailed(attempt, AttemptEnd.Broken("stream ended inside an event"), null)
+        attempt.incompleteEnd(splitter.isInsideEvent, lastEventId != null)?.let { return onFailed(attempt, it, null) }
+        partEvidence.onProven()
         sendHead()
         gate.onCompleted()
         finish("served")
@@ -248,6 +250,7 @@
         // The caller is in the middle of a stream, in which no other response can follow.
         if (isHeadSent) return onFailed(attempt, AttemptEnd.Failed(response.status.code()), null)
         recordOutput()
+        partEvidence.onProven()
         finish("served")
         reply.respond(response.status, response.headers, response.body)
         context.queues.retry(service)
@@ -267,9 +270,7 @@
         if (end.proof != ExecutionProof.NOT_RUN) runs++
         drawsOrderedVersion = false
         if (end is AttemptEnd.Broken) context.poison.requests.onBrokenRun(fingerprint, now())
-        if (end is AttemptEnd.Broken && end.isConnectionLost && !attempt.hasOutput) {
-            context.poison.parts.onCrash(sharedPartIds, attempt.entry.upstream.id, context.clock.now().toEpochMilli())
-        }
+        partEvidence.onAttemptEnded(attempt, end)
         // Without events, another attempt cannot resume a partly relayed response.
         val retries = context.retryBudget.usage(service, now())
         val next = if (isLarge) NextStep.ABORT else RetryPolicy.next(route, end, before, runs, sends, isHeadSent) { reserveRetry() }
@@ -281,8 +282,8 @@
             "connection" to attempt.localPort,
             "end" to end,
             "proof" to proof,
-            "output" to attempt.hasOutput,
-            "sharedParts" to sharedPartIds.joinToString(",") { it.toULong().toString(HEX_RADIX) }.ifEmpty { null },
+            "output" to attempt.hasProvenOutput,
+            "sharedParts" to partEvidence.loggedParts,
             "next" to next,
             "retriesUsed" to retries.used.toInt(),
             "retriesAllowed" to retries.allowed.toInt(),
@@ -327,13 +328,11 @@
         return retry != null
     }
 
-    private fun poisonReason(): String? = context.poison.refusalReason(fingerprint, sharedPartIds)
+    private fun poisonReason(): String? = context.poison.refusalReason(fingerprint, head.sharedPartIds)
 
     private fun recordOutput() {
-        if (isOutputRecorded) return
-        isOutputRecorded = true
+        if (isOutputLate != null) return
         isOutputLate = now() - request.arrivedNanos > route.targetLatency.toNanos()
-        if (sharedPartIds.isNotEmpty()) context.poison.parts.onOutput(sharedPartIds, context.clock.now().toEpochMilli())
     }
 
     private fun placeOrQueue(maxWait: Duration) {
@@ -469,7 +468,7 @@
             "outcome" to outcome,
             "reason" to reason,
             *gate.logFields,
-            *(attempt?.takeIf { isOutputLate }?.placementFields ?: NO_FIELDS),
+            *(attempt?.takeIf { isOutputLate == true }?.placementFields ?: NO_FIELDS),
         )
     }
 
@@ -485,7 +484,6 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
-        const val HEX_RADIX = 16
 
         /** Largest event that is buffered until it is complete; events of token streams have some hundred bytes. */
         const val MAX_EVENT_BYTES = 64 * 1_024
