Decode each head with the limit in force when it arrives

Cause: the decoder of a connection keeps the limit with which it was made and was replaced after a response only, so an idle connection kept the old one.

Change: the decoder is replaced when the first bytes of a head arrive between two requests, also before the first request and behind one that is served. A head of which a part arrived before the limit was raised gets 503, and so does what is too large while the limits are unknown or unconfirmed.

--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/connection/CallerConnection.kt
@@ -59,6 +59,9 @@
     private var requestStartNanos = 0L
     private var currentReply: Reply? = null
     private var headStartNanos: Long? = null
+
+    /** Largest head as of the arrival of the first bytes of the one that is being read. */
+    private var headLimit = Int.MAX_VALUE
     private var idleSinceNanos = 0L
     private var isClosing = false
     private var isReleased = false
@@ -127,9 +130,15 @@
         }
     }
 
-    /** Starts the header timeout when bytes arrive between requests, which may not be a complete head yet. */
+    /**
+     * Starts the header timeout when bytes arrive between requests, which may not be a complete head yet. They are decoded with the
+     * limits in force now; those of an idle connection may be old.
+     */
     fun onBytesReceived() {
-        if (partialRequest == null && headStartNanos == null) headStartNanos = clock.monotonicNanos()
+        if (isReading) return
+        headStartNanos = clock.monotonicNanos()
+        renewDecoder()
+        headLimit = decoder?.maxHeaderBytes ?: Int.MAX_VALUE
     }
 
     /** Counts what is left of [count] bytes that have been received and decoded, and stops reading while memory is short. */
@@ -179,7 +188,7 @@
         body.clear()
         partialHeadBytes = RequestHeadSize.of(request.headers().size(), decoder?.headBytes ?: 0)
         val length = if (HttpUtil.isContentLengthSet(request)) HttpUtil.getContentLength(request) else -1
-        if (length > service.limits.maxBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        if (length > service.limits.maxBodyBytes) return refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         bodyLength = length.toInt()
         refresh()
         if (!memory.admitsHead(partialHeadBytes)) {
@@ -193,7 +202,7 @@
     private fun readContent(content: HttpContent) {
         val request = partialRequest ?: return
         if (body.size + content.content().readableBytes() > service.limits.maxBodyBytes) {
-            return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            return refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         }
         body.append(content.content(), bodyLength)
         if (content !is LastHttpContent) return
@@ -213,7 +222,7 @@
         if (currentReply != null || isClosing || !channel.isActive) return
         val request = pipelined.removeFirstOrNull()
         if (request == null) {
-            renewDecoder()
+            if (!isReading) renewDecoder()
             return refresh()
         }
         val reply = Reply(request)
@@ -230,7 +239,7 @@
     /** Gives back the buffer for long lines, and lets changed limits apply. */
     private fun renewDecoder() {
         val current = decoder ?: return
-        if (current.isInsideMessage || !hasNoRequest) return
+        if (current.isInsideMessage) return
         if (current.scratchBytes == 0 && current.maxHeaderBytes == service.limits.maxHeaderBytes) return
         val next = CallerDecoder(service.limits.maxHeaderBytes)
         channel.pipeline().replace(current, null, next)
@@ -297,9 +306,15 @@
     }
 
     private fun refuseMalformed(cause: Throwable) {
-        refuse(if (cause is TooLongFrameException) HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE else HttpResponseStatus.BAD_REQUEST)
+        if (cause !is TooLongFrameException) return refuse(HttpResponseStatus.BAD_REQUEST)
+        val wasRaised = headLimit < service.limits.maxHeaderBytes
+        refuseTooLarge(if (wasRaised) HttpResponseStatus.SERVICE_UNAVAILABLE else HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
     }
 
+    /** Refuses with the final [status], or asks the caller to retry while the limits in force may be others. */
+    private fun refuseTooLarge(status: HttpResponseStatus): Unit =
+        refuse(if (service.areLimitsConfirmed) status else HttpResponseStatus.SERVICE_UNAVAILABLE)
+
     /**
      * Refuses a request that cannot be read and closes the connection. While an earlier request is served, [status] is not sent
      * and the connection closes after the response to the earlier one.
--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/request/RequestAdmission.kt
@@ -28,6 +28,12 @@
 ) : CallerService {
     override val limits: CallerLimits get() = context.tableCache.table?.limits ?: CallerLimits()
 
+    override val areLimitsConfirmed: Boolean
+        get() {
+            checkForPause()
+            return context.tableCache.table != null && context.tableCache.allowsDenial(now())
+        }
+
     override var draining: Boolean = false
 
     /** True once the process ends too soon to serve new requests completely; they are then refused. */
