--- a/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerTableReader.kt
+++ b/buckthornlever-gateway/src/main/kotlin/io/buckthornlever/gateway/process/PeerTableReader.kt
@@ -79,6 +79,7 @@
     /** Asks some instances at a time until one of them has a confirmed table. */
     private inner class Round {
         private val asked = HashSet<String>()
+        private val failures = ArrayList<String>()
         private var pending = 0
         private var answers = 0
 
@@ -95,7 +96,13 @@
             if (round !== this) return
             round = null
             hasAsked = true
-            log.write(GatewayEvent.PEERS_ASKED_FOR_TABLE, "asked" to asked.size, "answers" to answers, "version" to version())
+            log.write(
+                GatewayEvent.PEERS_ASKED_FOR_TABLE,
+                "asked" to asked.size,
+                "answers" to answers,
+                "version" to version(),
+                "failures" to failures.joinToString("; ").ifEmpty { null },
+            )
             val action = confirm
             confirm = {}
             action()
@@ -106,7 +113,7 @@
             val path = "${RelayPaths.NEWER_TABLE}?${RelayPaths.SINCE}=${version() ?: Long.MIN_VALUE}"
             calls.call(HttpMethod.GET, path, emptyMap(), null, RESPONSE_TIME) { result ->
                 result.onSuccess { onResponse(peer, it) }
-                result.onFailure { log.write(GatewayEvent.RELAY_FAILED, "relay" to peer.name, "reason" to it.reason) }
+                result.onFailure { failures.add("${peer.name}: ${it.reason}") }
                 pending--
                 if (answers >= SUFFICIENT_ANSWERS) return@call end()
                 if (pending == 0 && round === this) askNext()
@@ -121,7 +128,7 @@
             if (response.status == NO_CONTENT || table != null) {
                 answers++
             } else {
-                log.write(GatewayEvent.RELAY_FAILED, "relay" to peer.name, "reason" to "no table, status ${response.status}")
+                failures.add("${peer.name}: no table, status ${response.status}")
             }
             // Applies even after the end of the round: the highest version is right at any time.
             table?.let(onNewer)
