--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelaySite.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelaySite.kt
@@ -74,7 +74,7 @@
     ) {
         private val metrics = GatewayMetrics()
         private val counter = StoreCallCounter(metrics)
-        private val logs = FOLLOWED_KINDS.associateWith { RelayLog(RelayWaits.maxAge(it)) }
+        private val logs = FollowedKinds.ALL.associateWith { RelayLog(RelayWaits.maxAge(it)) }
         private val relay = RelayService(loop, SystemClock, logs, { true }) { }
         private val listener = CallerListener(loop, relay, SystemClock, TestLimits.on(loop))
 
@@ -117,7 +117,7 @@
                     EventLog(name),
                 )
             loop.execute {
-                for (kind in FOLLOWED_KINDS) {
+                for (kind in FollowedKinds.ALL) {
                     StateFeed(kind, WATCH_WAIT, Duration.ZERO, relayed, loop, SystemClock, Listener(kind)).start()
                 }
                 tick()
@@ -302,14 +302,5 @@
         private const val CALL_TIMEOUT_MILLIS = 900L
         private val WATCH_WAIT = Duration.ofSeconds(6)
         private val CHANGED_KINDS = listOf(StateKind.UPSTREAMS, StateKind.SERVING_TABLE)
-        private val FOLLOWED_KINDS =
-            listOf(
-                StateKind.SERVING_TABLE,
-                StateKind.UPSTREAMS,
-                StateKind.EVACUATIONS,
-                StateKind.VERSION_ORDERS,
-                StateKind.INSTANCES,
-                StateKind.QUOTA_HOLDINGS,
-            )
     }
 }
