--- a/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelaySiteTest.kt
+++ b/buckthornlever-gateway/src/test/kotlin/io/buckthornlever/gateway/process/RelaySiteTest.kt
@@ -1,5 +1,6 @@
 package io.buckthornlever.gateway.process
 
+import org.junit.jupiter.api.Tag
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
@@ -16,7 +17,9 @@
     @Test
     fun `followers of a relay that paused do not all turn to the store`() = check("paused", FAULT_CALLS) { it.first().freeze(1_300) }
 
+    // Listed in KNOWN-RED.txt.
     @Test
+    @Tag("known-red")
     fun `followers that lost the relay for a moment do not ask the store until they return to it`() =
         check("unreachable", CALM_CALLS) { instances ->
             val some = instances.filterIndexed { index, _ -> index % 2 == 0 && index > 0 }
